lacewing-gateway: requests pass through to endpoints on the users' platform

The whole path, thin: routes, keys, desired state, endpoints' registrations, plain calls, streams, stages whose calls are filled by one VM for all, and a graceful stop. Decisions are in libs/routing, libs/stages and libs/dispatch; platform/ translates. libs/net: an answer to an earlier request of a connection is passed over, a connection whose request is not written in full is not used again, a coding of a request's body that isn't known is refused.

No test of the new libraries yet.

--- /dev/null
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <base/base.h>
+#include <routing/routing.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/**
+ * Decisions on one send: which endpoint gets it, whether it may be sent again, and which requests crash endpoints.
+ *
+ * Nothing here does input or output; time is an argument, random numbers come from a seed.
+ */
+namespace lacewing::dispatch
+{
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Repeats
+
+/** Bounds on repeats of one service by the whole fleet. */
+struct RetryBounds {
+    double ratio = 0.2; ///< repeats for each request
+    Duration window = std::chrono::seconds(10); ///< over which both are counted
+    double slack = 10; ///< repeats allowed besides, by all VMs together
+};
+
+/**
+ * Allows repeats up to a share of the requests of a sliding window.
+ *
+ * Load pattern: endpoints that fail many requests at once, when each VM that repeats what failed would double the load.
+ * Each VM keeps to its own requests and its part of the slack, so that the fleet keeps to the bound without agreeing.
+ */
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const RetryBounds &bounds);
+
+    /** Sets among how many VMs the slack is divided. */
+    void setVms(std::size_t count) noexcept;
+    /** Counts a request for the service. */
+    void requestSeen(Time now);
+    /** Allows and counts a repeat, or declines it. */
+    bool allowRepeat(Time now);
+
+private:
+    struct Slot {
+        Time start;
+        double requests = 0;
+        double repeats = 0;
+    };
+    Slot &current(Time now);
+
+    RetryBounds bounds_;
+    std::size_t vms_ = 1;
+    std::deque<Slot> slots_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Choice of an endpoint
+
+/** What an endpoint said of its load. */
+struct ReportedLoad {
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    std::size_t slots = 1;
+};
+
+/** How a send ended, as far as it tells about the endpoint. */
+enum class SendOutcome : std::uint8_t {
+    Answered, ///< any answer of the endpoint that is no sign of trouble
+    Failed, ///< broken connection, spoilt answer or error
+    Declined, ///< the endpoint was full
+    Unreachable, ///< no connection
+    Abandoned, ///< by the caller; says nothing
+};
+
+/** One candidate for a send. */
+struct Candidate {
+    const routing::EndpointEntry *entry = nullptr;
+    double extraMs = 0; ///< added to its expected time, such as for moving inputs; in ms
+};
+
+/**
+ * Chooses among the endpoints of a service by expected time to an answer.
+ *
+ * Load pattern: reported load is old and other VMs act on the same report; endpoints that fail, hang or crawl while
+ * they call themselves healthy. The answers count: own sends in progress, the learned time of an answer, and the
+ * learned share of failures. An endpoint that fails is left out for a while that doubles with each failed trial.
+ */
+class EndpointChooser
+{
+public:
+    explicit EndpointChooser(std::uint64_t seed);
+
+    /** The best candidate; null when there is none. @param ownZone preferred among equals */
+    const routing::EndpointEntry *choose(std::span<const Candidate> candidates,
+                                         const AvailabilityZoneId &ownZone,
+                                         Time now);
+    /** A send has begun. @param workMs expected work that it adds, in ms of the endpoint */
+    void sendStarted(const EndpointId &endpoint, double workMs, Time now);
+    /** The endpoint has begun to answer, or the send has ended: the work counts no more. */
+    void workDone(const EndpointId &endpoint, double workMs);
+    /** A send has ended. @param firstByte time from the send to the first byte; empty when there was none */
+    void sendEnded(const EndpointId &endpoint, SendOutcome outcome, std::optional<Duration> firstByte, Time now);
+    void loadReported(const EndpointId &endpoint, const ReportedLoad &load, Time now);
+    /** Whether an endpoint is left out at present. */
+    bool isLeftOut(const EndpointId &endpoint, Time now) const;
+    /** Forgets endpoints that are not in the directory. */
+    void forgetAbsent(const routing::EndpointDirectory &directory);
+    std::size_t open(const EndpointId &endpoint) const;
+
+private:
+    struct Health {
+        std::size_t open = 0; ///< own sends in progress
+        double pendingMs = 0; ///< expected work of own sends that have no answer yet
+        double latencyMs = 0; ///< learned time to the first byte; 0: unknown
+        double failureShare = 0; ///< learned
+        int trips = 0; ///< failed trials in a row
+        Time leftOutUntil;
+        ReportedLoad load;
+        Time loadAt;
+    };
+    double expectedMs(const Health &health, const Candidate &candidate, double typicalMs, Time now) const;
+
+    Random random_;
+    std::unordered_map<EndpointId, Health> health_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Prompts that share parts
+
+/** A part of a prompt that other requests may share. */
+struct SharedPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/**
+ * Remembers which engines have lately read which parts of prompts.
+ *
+ * Load pattern: many requests that begin with the same parts; an engine that has read them need not read them again.
+ * Only this VM's own sends are known, and an entry counts only for a short while, since engines drop what they don't
+ * use.
+ */
+class PrefixMemory
+{
+public:
+    /** @param life how long a part counts as kept after its last use */
+    explicit PrefixMemory(Duration life);
+
+    void used(const EndpointId &endpoint, std::span<const SharedPart> parts, Time now);
+    /** Tokens at the start of a prompt that the engine probably keeps. */
+    std::uint32_t keptTokens(const EndpointId &endpoint, std::span<const SharedPart> parts, Time now) const;
+    void expire(Time now);
+
+private:
+    Duration life_;
+    std::unordered_map<EndpointId, std::unordered_map<std::uint64_t, Time>> usedAt_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Requests that crash endpoints
+
+/**
+ * Counts, for each request by its fingerprint, the endpoints that went down while they ran it.
+ *
+ * Load pattern: a request that crashes whatever runs it and is sent again by its caller, to any VM. Neighbours of such
+ * a request are counted too, but are rarely there again the next time.
+ */
+class SuspectList
+{
+public:
+    /** An endpoint went down while it ran the request. @return crashes counted for it so far */
+    int crashed(Fingerprint request, Time now);
+    /** Takes the count that another VM has. */
+    void merge(Fingerprint request, int crashes, Time now);
+    /** True once it must not be sent to endpoints any more. */
+    bool isBarred(Fingerprint request) const;
+    void expire(Time now);
+    std::size_t size() const noexcept
+    {
+        return suspects_.size();
+    }
+
+private:
+    struct Suspect {
+        int crashes = 0;
+        Time seenAt;
+    };
+    std::unordered_map<Fingerprint, Suspect> suspects_;
+};
+
+} // namespace lacewing::dispatch
--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -126,6 +126,7 @@
     Headers headers;
     std::string body;
     std::string remoteAddress; ///< caller's ip:port
+    Time receivedAt; ///< when its first byte was read
 
     /** Value of a header; empty when there is none. */
     std::optional<std::string_view> header(std::string_view name) const noexcept;
@@ -295,10 +296,15 @@
     std::string address; ///< ip:port
     std::string method = "GET";
     std::string target = "/";
-    Headers headers; ///< besides Host, Content-Length and the client's default headers
+    Headers headers; ///< besides Content-Length and the client's default headers; Host is the address unless given
     std::string body;
     bool repeatable = false; ///< may be sent again on a fresh connection when a pooled one turns out dead
     bool resendWhenLost = true; ///< if repeatable, also when the pooled one was closed, which may be a crash
+    /**
+     * A header that the server repeats in its response. A response with another value belongs to an earlier request of
+     * the connection and is passed over; one without the header is taken.
+     */
+    std::optional<Header> echo;
 };
 
 /** Time limits of a call; 0 is none. */
@@ -350,7 +356,10 @@
     HttpClientOptions &maxConnections(std::size_t count);
     /** Time after which an unused connection is closed. Default 15 s. */
     HttpClientOptions &keepIdle(Duration time);
-    /** A call that isn't repeatable uses a pooled connection only this long after its last use. Default 250 ms. */
+    /**
+     * A call that isn't repeatable uses a pooled connection only this long after its last use, unless the server has
+     * announced with Keep-Alive how long it keeps it. Default 250 ms.
+     */
     HttpClientOptions &trustIdle(Duration time);
     /** Largest head of a response. Default 16 KiB. */
     HttpClientOptions &maxHeaderBytes(std::size_t bytes);
@@ -491,6 +500,33 @@
     bool afterReturn_ = false;
 };
 
+/** One event as it was received, with the empty line that ends it. */
+struct RawEvent {
+    std::string id; ///< its own id; empty: it has none
+    std::string bytes;
+};
+
+/** Cuts a stream of bytes after each whole event, so that no part of an event is passed on. */
+class SseSplitter
+{
+public:
+    /** Takes the next bytes and returns the events they complete. */
+    std::vector<RawEvent> feed(std::string_view bytes);
+    /** Bytes of an event that is not complete. */
+    std::size_t pendingBytes() const noexcept
+    {
+        return pending_.size();
+    }
+    /** Forgets an event that is not complete. */
+    void reset() noexcept
+    {
+        pending_.clear();
+    }
+
+private:
+    std::string pending_;
+};
+
 /** Writes one event. @param event its type; empty: message */
 std::string sseEvent(std::string_view id, std::string_view data, std::string_view event = {});
 
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -81,7 +81,7 @@
     progressAt_ = loop_.clock().now();
     std::string request = requestHead(call_, pool_.options().defaultHeaders());
     request += call_.body;
-    connection_->send(std::move(request), call_.method == "HEAD", *this);
+    connection_->send(std::move(request), call_.method == "HEAD", call_.echo, *this);
     armTimer();
 }
 
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <charconv>
 #include <netinet/tcp.h>
 
 namespace lacewing::net
@@ -125,10 +126,13 @@
     parser_->header_limit(static_cast<std::uint32_t>(options_.maxHeaderBytes()));
     parser_->body_limit(options_.maxBodyBytes());
     headDelivered_ = false;
+    skipping_ = false;
 }
 
-void ClientConnection::send(std::string request, bool headOnly, ConnectionListener &listener)
+void ClientConnection::send(std::string request, bool headOnly, std::optional<Header> echo, ConnectionListener &listener)
 {
+    echo_ = std::move(echo);
+    writing_ = true;
     listener_ = &listener;
     headOnly_ = headOnly;
     request_ = std::move(request);
@@ -139,6 +143,7 @@
         socket_, asio::buffer(request_), [self = shared_from_this()](const ErrorCode &error, std::size_t written) {
             // The failure itself is left to the read, which may still find an early response.
             self->nothingWritten_ = error && written == 0;
+            self->writing_ = false;
         });
     read();
 }
@@ -204,7 +209,7 @@
     ErrorCode ending;
     if (error == asio::error::eof && parser_->got_some()) {
         parser_->put_eof(ending);
-        if (!ending && parser_->is_done()) {
+        if (!ending && parser_->is_done() && !skipping_ && !answersAnother()) {
             if (deliver()) {
                 finish();
             }
@@ -233,7 +238,7 @@
             return;
         }
         if (parser_->is_done()) {
-            if (parser_->head.status < firstFinalStatus) {
+            if (parser_->head.status < firstFinalStatus || skipping_) {
                 newParser();
                 continue;
             }
@@ -252,6 +257,13 @@
     if (!parser_->headComplete || parser_->head.status < firstFinalStatus) {
         return true;
     }
+    if (!headDelivered_ && answersAnother()) {
+        skipping_ = true;
+    }
+    if (skipping_) {
+        parser_->body.clear();
+        return true;
+    }
     if (!headDelivered_) {
         headDelivered_ = true;
         listener_->received(parser_->head);
@@ -265,10 +277,40 @@
 
 void ClientConnection::finish()
 {
-    const bool reusable = parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_;
+    // A server may answer before it has read the whole request: the rest of it would still be due on the connection.
+    const bool reusable =
+        parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_ && !writing_;
+    noteKeepAlive();
     listener_->completed(reusable);
 }
 
+bool ClientConnection::answersAnother() const
+{
+    if (!echo_) {
+        return false;
+    }
+    const auto value = findHeader(parser_->head.headers, echo_->name);
+    return value && *value != echo_->value;
+}
+
+/** Notes the server's "Keep-Alive: timeout=SECONDS". */
+void ClientConnection::noteKeepAlive()
+{
+    constexpr std::string_view parameter = "timeout=";
+    constexpr Duration margin = std::chrono::milliseconds(500); // for a response on its way while the server closes
+    const auto value = findHeader(parser_->head.headers, "Keep-Alive");
+    const auto at = value ? value->find(parameter) : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return;
+    }
+    const auto digits = value->substr(at + parameter.size());
+    std::int64_t seconds = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (error == std::errc() && seconds >= 0) {
+        keptFor_ = std::max<Duration>(std::chrono::seconds(seconds) - margin, Duration::zero());
+    }
+}
+
 void ClientConnection::fail(ErrorKind kind, std::string detail)
 {
     listener_->failed({ kind, std::move(detail) });
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -67,7 +67,7 @@
 
     void connect(const SocketAddress &address, ConnectionListener &listener);
     /** Sends a request on a connected and unused connection. */
-    void send(std::string request, bool headOnly, ConnectionListener &listener);
+    void send(std::string request, bool headOnly, std::optional<Header> echo, ConnectionListener &listener);
     /** Makes the connection idle; bytes or an end that come now close it. */
     void release(Time now);
     /** Closes the socket; the listener isn't called any more. */
@@ -83,6 +83,11 @@
     {
         return idleSince_;
     }
+    /** How long the server keeps the connection unused, if it has said so. */
+    std::optional<Duration> keptFor() const noexcept
+    {
+        return keptFor_;
+    }
     const std::string &address() const noexcept
     {
         return address_;
@@ -99,6 +104,8 @@
     void parse();
     bool deliver();
     void finish();
+    bool answersAnother() const;
+    void noteKeepAlive();
     void fail(ErrorKind kind, std::string detail);
 
     const HttpClientOptions &options_;
@@ -116,6 +123,10 @@
     bool headDelivered_ = false;
     bool sent_ = false; ///< a request was given to the socket
     bool nothingWritten_ = false;
+    bool writing_ = false; ///< the request is not yet written in full
+    bool skipping_ = false; ///< the response at hand belongs to an earlier request
+    std::optional<Header> echo_;
+    std::optional<Duration> keptFor_;
 };
 
 } // namespace lacewing::net
--- a/libs/net/src/client_pool.cpp
+++ b/libs/net/src/client_pool.cpp
@@ -34,7 +34,8 @@
     }
     auto &idle = found->second.idle;
     const Duration age = loop_.clock().now() - idle.back()->idleSince();
-    const Duration limit = repeatable ? options_.keepIdle() : std::min(options_.trustIdle(), options_.keepIdle());
+    const Duration trusted = idle.back()->keptFor().value_or(repeatable ? options_.keepIdle() : options_.trustIdle());
+    const Duration limit = std::min(trusted, options_.keepIdle());
     if (age > limit) {
         return nullptr;
     }
--- a/libs/net/src/http_text.cpp
+++ b/libs/net/src/http_text.cpp
@@ -109,7 +109,9 @@
     message.version(11);
     message.method_string(toBeast(call.method));
     message.target(toBeast(call.target));
-    message.set(http::field::host, call.address);
+    if (!findHeader(call.headers, "Host")) {
+        message.set(http::field::host, call.address);
+    }
     addHeaders(message, defaults);
     addHeaders(message, call.headers);
     if (!call.body.empty() || (call.method != "GET" && call.method != "HEAD")) {
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "http_text.h"
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -22,9 +24,19 @@
 /** While draining, how long a connection must have been quiet before it is closed between requests. */
 constexpr Duration drainQuiet = std::chrono::milliseconds(500);
 
-HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &remoteAddress)
+/** True when the body's length is beyond doubt: no coding of the message but "chunked". */
+bool hasPlainFraming(const http::request<http::string_body> &message)
+{
+    const auto codings = message.equal_range(http::field::transfer_encoding);
+    return std::all_of(codings.first, codings.second, [](const auto &field) {
+        return boost::beast::iequals(field.value(), "chunked");
+    });
+}
+
+HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &remoteAddress, Time receivedAt)
 {
     HttpRequest request;
+    request.receivedAt = receivedAt;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto &field : message) {
@@ -44,6 +56,7 @@
 {
     ErrorCode error;
     socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    socket_.set_option(asio::socket_base::keep_alive(true), error);
     const auto remote = socket_.remote_endpoint(error);
     if (!error) {
         remoteAddress_ = toText(SocketAddress { remote.address().to_string(), remote.port() });
@@ -187,6 +200,9 @@
 void ServerConnection::parse()
 {
     while (phase_ == Phase::Reading && input_.size() > 0) {
+        if (!parser_->got_some()) {
+            requestStarted_ = shared_->loop.clock().now();
+        }
         ErrorCode error;
         const std::size_t taken = parser_->put(input_.data(), error);
         input_.consume(taken);
@@ -195,6 +211,10 @@
             rejectMalformed(error);
             return;
         }
+        if (parser_->is_header_done() && !hasPlainFraming(parser_->get())) {
+            rejectMalformed(http::error::bad_transfer_encoding);
+            return;
+        }
         sendContinueIfAsked();
         if (parser_->is_done()) {
             dispatch();
@@ -230,7 +250,7 @@
     exchange_ = exchange;
     ResponseWriter writer(std::move(exchange));
     try {
-        shared_->handler(toRequest(std::move(message), remoteAddress_), writer);
+        shared_->handler(toRequest(std::move(message), remoteAddress_, requestStarted_), writer);
     } catch (const std::exception &) {
         writer.respond(status::internalError, {}, {});
     }
--- a/libs/net/src/server_connection.h
+++ b/libs/net/src/server_connection.h
@@ -127,6 +127,7 @@
     std::string sending_;
     Phase phase_ = Phase::Reading;
     Time lastProgress_;
+    Time requestStarted_; ///< when the first byte of the request at hand was read
     bool reading_ = false;
     bool peerClosed_ = false; ///< the caller has closed its sending side
     bool keepAlive_ = true;
--- a/libs/net/src/sse.cpp
+++ b/libs/net/src/sse.cpp
@@ -64,6 +64,35 @@
     }
 }
 
+std::vector<RawEvent> SseSplitter::feed(std::string_view bytes)
+{
+    pending_ += bytes;
+    std::vector<RawEvent> events;
+    std::size_t begin = 0;
+    std::size_t lineBegin = 0;
+    std::string id;
+    for (std::size_t at = 0; at < pending_.size(); ++at) {
+        if (pending_[at] != '\n') {
+            continue;
+        }
+        std::string_view line = std::string_view(pending_).substr(lineBegin, at - lineBegin);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        lineBegin = at + 1;
+        constexpr std::string_view idField = "id:";
+        if (line.starts_with(idField)) {
+            line.remove_prefix(idField.size());
+            id = line.starts_with(' ') ? line.substr(1) : line;
+        } else if (line.empty()) {
+            events.push_back({ std::exchange(id, {}), pending_.substr(begin, lineBegin - begin) });
+            begin = lineBegin;
+        }
+    }
+    pending_.erase(0, begin);
+    return events;
+}
+
 std::string sseEvent(std::string_view id, std::string_view data, std::string_view event)
 {
     std::string text;
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -64,11 +64,14 @@
 /** Form of a log line. */
 enum class LogFormat : std::uint8_t { Json, Text };
 
+/** Stands for standard output where the path of a file is expected. */
+constexpr const char *standardOutput = "-";
+
 /** Section [log]: lines about changes of state. */
 struct LogSettings {
     LogLevel level = LogLevel::Info; ///< "debug", "info", "warn" or "error"
     LogFormat format = LogFormat::Json; ///< "json" or "text"
-    std::string file; ///< path; empty: standard error
+    std::string file; ///< path; empty: standard error; standardOutput: standard output
 };
 
 /** Section [tls]: keys for the links between VMs. Paths are read again when the daemon is told to reload. */
--- /dev/null
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -0,0 +1,333 @@
+#include <stages/stages.h>
+
+#include <algorithm>
+
+namespace lacewing::stages
+{
+namespace
+{
+
+/** Share of an endpoint's room for results that may be taken; the rest covers results of uneven size. */
+constexpr double roomShare = 0.9;
+/** Weight of the newest call in the learned time of an endpoint. */
+constexpr double slownessGain = 0.4;
+/** An endpoint that takes this many times longer than its fastest peer counts as slow. */
+constexpr double slowRatio = 2.0;
+/** Time between small calls to a slow endpoint, to see whether it has recovered. */
+constexpr Duration slowTrialPeriod = 1500ms;
+/** Pieces of such a call. */
+constexpr std::size_t slowTrialPieces = 1;
+/** A call without an answer counts as lost after this many times its expected time, and a bit. */
+constexpr double lostRatio = 4.0;
+constexpr Duration lostMargin = 400ms;
+/** An endpoint that declined a call, because other callers use it too, is asked again after this time. */
+constexpr Duration declinedPause = 40ms;
+/** An endpoint that lost a call is asked again after this time. */
+constexpr Duration lostPause = 400ms;
+/** Waiting pieces are looked at this often for those that can't be made in time. */
+constexpr Duration expiryPeriod = 100ms;
+
+} // namespace
+
+BatchScheduler::BatchScheduler(routing::BatchTraits traits)
+    : traits_(traits)
+{
+}
+
+void BatchScheduler::setTraits(const routing::BatchTraits &traits)
+{
+    traits_ = traits;
+}
+
+void BatchScheduler::setEndpoints(const std::vector<BatchEndpoint> &endpoints)
+{
+    for (auto &[id, line] : lines_) {
+        line.isListed = false;
+    }
+    for (const auto &endpoint : endpoints) {
+        Line &line = lines_[endpoint.id];
+        line.endpoint = endpoint;
+        line.isListed = true;
+    }
+    std::erase_if(lines_, [](const auto &item) { return !item.second.isListed && item.second.callsOpen == 0; });
+}
+
+void BatchScheduler::avoid(const EndpointId &endpoint, Time until)
+{
+    const auto found = lines_.find(endpoint);
+    if (found != lines_.end()) {
+        found->second.avoidUntil = std::max(found->second.avoidUntil, until);
+    }
+}
+
+void BatchScheduler::add(PieceOrder order)
+{
+    orders_.push_back(std::move(order));
+}
+
+bool BatchScheduler::cancel(PieceTicket ticket)
+{
+    return std::erase_if(orders_, [&](const PieceOrder &order) { return order.ticket == ticket; }) > 0;
+}
+
+std::vector<PieceOrder> BatchScheduler::takeExpired(Time now)
+{
+    std::vector<PieceOrder> expired;
+    const auto first = std::stable_partition(orders_.begin(), orders_.end(), [&](const PieceOrder &order) {
+        return now + nominalTime(1) <= order.limit;
+    });
+    std::move(first, orders_.end(), std::back_inserter(expired));
+    orders_.erase(first, orders_.end());
+    return expired;
+}
+
+std::vector<BatchCall> BatchScheduler::takeCalls(Time now)
+{
+    std::vector<BatchCall> calls;
+    dropOldResults(now);
+    if (orders_.empty()) {
+        return calls;
+    }
+    sortOrders(now);
+    while (!orders_.empty()) {
+        Line *line = chooseLine(now, orders_.front().zone, orders_.size());
+        if (line == nullptr) {
+            break;
+        }
+        const bool trial = isSlow(*line, fastest());
+        BatchCall call = fill(*line, now, trial ? slowTrialPieces : traits_.piecesPerCall);
+        if (call.pieces.empty()) {
+            // No room for any result: asked again once some were given up.
+            line->avoidUntil = now + declinedPause;
+            continue;
+        }
+        calls.push_back(std::move(call));
+    }
+    return calls;
+}
+
+void BatchScheduler::callEnded(const EndpointId &endpoint, CallOutcome outcome, std::size_t made, Time now)
+{
+    const auto found = lines_.find(endpoint);
+    if (found == lines_.end()) {
+        return;
+    }
+    Line &line = found->second;
+    line.callsOpen = line.callsOpen > 0 ? line.callsOpen - 1 : 0;
+    line.roomUsed -= std::min(line.roomUsed, line.roomOpen);
+    line.roomOpen = 0;
+    line.piecesOpen = 0;
+    switch (outcome) {
+    case CallOutcome::Answered:
+        if (made > 0 && line.nominal > Duration::zero()) {
+            const double ratio = toSeconds(now - line.startedAt) / toSeconds(line.nominal);
+            line.slowness += slownessGain * (ratio - line.slowness);
+        }
+        break;
+    case CallOutcome::Declined:
+        line.avoidUntil = now + declinedPause;
+        break;
+    case CallOutcome::Lost:
+        line.avoidUntil = now + lostPause;
+        break;
+    }
+    if (!line.isListed && line.callsOpen == 0) {
+        lines_.erase(found);
+    }
+}
+
+void BatchScheduler::resultMade(const EndpointId &endpoint, const ResultHandle &handle, Bytes size, Time now)
+{
+    const auto found = lines_.find(endpoint);
+    if (found != lines_.end()) {
+        found->second.roomUsed += size.value();
+    }
+    held_[handle] = { endpoint, size.value(), now + traits_.resultLife };
+}
+
+EndpointId BatchScheduler::resultReleased(const ResultHandle &handle)
+{
+    const auto found = held_.find(handle);
+    if (found == held_.end()) {
+        return {};
+    }
+    const Held held = found->second;
+    held_.erase(found);
+    const auto line = lines_.find(held.endpoint);
+    if (line != lines_.end()) {
+        line->second.roomUsed -= std::min(line->second.roomUsed, held.bytes);
+    }
+    return held.endpoint;
+}
+
+Duration BatchScheduler::expectedTime(Time now) const
+{
+    // The lines work in turns: what waits is spread over them, and the next free one takes the new piece.
+    std::size_t usable = 0;
+    Duration soonest = Duration::max();
+    for (const auto &[id, line] : lines_) {
+        if (!line.isListed || isSlow(line, fastest())) {
+            continue;
+        }
+        ++usable;
+        const auto length = Duration(std::int64_t(double(line.nominal.count()) * line.slowness));
+        const Duration left = line.callsOpen == 0 ? Duration::zero() : std::max(line.startedAt + length - now, Duration::zero());
+        soonest = std::min(soonest, left);
+    }
+    if (usable == 0) {
+        return Duration::max();
+    }
+    const std::size_t callsBefore = orders_.size() / std::max<std::size_t>(traits_.piecesPerCall, 1);
+    const Duration full = nominalTime(traits_.piecesPerCall);
+    const Duration turns = full * std::int64_t(callsBefore) / std::int64_t(usable);
+    return soonest + turns + nominalTime(std::min(orders_.size() + 1, traits_.piecesPerCall));
+}
+
+std::optional<Time> BatchScheduler::nextDue() const
+{
+    if (orders_.empty()) {
+        return std::nullopt;
+    }
+    std::optional<Time> next;
+    const auto consider = [&](Time time) { next = next ? std::min(*next, time) : time; };
+    for (const auto &order : orders_) {
+        consider(std::max(order.limit - nominalTime(1), order.limit - expiryPeriod));
+    }
+    for (const auto &[id, line] : lines_) {
+        if (line.isListed && line.callsOpen < traits_.callsInWork) {
+            consider(line.avoidUntil);
+            if (isSlow(line, fastest())) {
+                consider(line.triedAt + slowTrialPeriod);
+            }
+        }
+    }
+    return next;
+}
+
+Duration BatchScheduler::callLimit(const BatchCall &call) const
+{
+    return Duration(std::int64_t(double(call.expected.count()) * lostRatio)) + lostMargin;
+}
+
+Duration BatchScheduler::nominalTime(std::size_t pieces) const noexcept
+{
+    return traits_.callTime + traits_.pieceTime * std::int64_t(pieces);
+}
+
+double BatchScheduler::fastest() const noexcept
+{
+    double best = 0;
+    for (const auto &[id, line] : lines_) {
+        if (line.isListed && (best == 0 || line.slowness < best)) {
+            best = line.slowness;
+        }
+    }
+    return best;
+}
+
+bool BatchScheduler::isSlow(const Line &line, double fastest) const noexcept
+{
+    return line.slowness > slowRatio * fastest;
+}
+
+bool BatchScheduler::mayCall(const Line &line, Time now) const noexcept
+{
+    return line.isListed && line.callsOpen < traits_.callsInWork && now >= line.avoidUntil;
+}
+
+void BatchScheduler::dropOldResults(Time now)
+{
+    std::vector<ResultHandle> old;
+    for (const auto &[handle, held] : held_) {
+        if (held.until <= now) {
+            old.push_back(handle);
+        }
+    }
+    for (const auto &handle : old) {
+        resultReleased(handle);
+    }
+}
+
+/** The free endpoint for the next call: fast before slow, in the wanted zone before others, then the emptiest. */
+BatchScheduler::Line *BatchScheduler::chooseLine(Time now, const AvailabilityZoneId &zone, std::size_t waiting)
+{
+    const double best = fastest();
+    std::size_t fastLines = 0;
+    for (const auto &[id, line] : lines_) {
+        fastLines += line.isListed && !isSlow(line, best) ? 1 : 0;
+    }
+    Line *chosen = nullptr;
+    const auto isBetter = [&](const Line &line, const Line &than) {
+        if (isSlow(line, best) != isSlow(than, best)) {
+            return !isSlow(line, best);
+        }
+        if ((line.endpoint.zone == zone) != (than.endpoint.zone == zone)) {
+            return line.endpoint.zone == zone;
+        }
+        if (line.roomUsed != than.roomUsed) {
+            return line.roomUsed < than.roomUsed;
+        }
+        return line.endpoint.id < than.endpoint.id;
+    };
+    for (auto &[id, line] : lines_) {
+        if (!mayCall(line, now)) {
+            continue;
+        }
+        const bool isTrialDue = now - line.triedAt >= slowTrialPeriod;
+        const bool othersHaveRoom = waiting <= fastLines * traits_.piecesPerCall;
+        if (isSlow(line, best) && (!isTrialDue || (othersHaveRoom && waiting < 2))) {
+            continue;
+        }
+        if (chosen == nullptr || isBetter(line, *chosen)) {
+            chosen = &line;
+        }
+    }
+    return chosen;
+}
+
+BatchCall BatchScheduler::fill(Line &line, Time now, std::size_t most)
+{
+    const auto room = static_cast<std::uint64_t>(double(traits_.resultRoom.value()) * roomShare);
+    BatchCall call;
+    call.endpoint = line.endpoint.id;
+    std::vector<PieceOrder> rest;
+    std::uint64_t opened = 0;
+    for (auto &order : orders_) {
+        const std::uint64_t bytes = order.resultBytes.value();
+        const bool fits = traits_.resultRoom.value() == 0 || line.roomUsed + opened + bytes <= room;
+        if (call.pieces.size() < most && fits) {
+            opened += bytes;
+            call.pieces.push_back(std::move(order));
+        } else {
+            rest.push_back(std::move(order));
+        }
+    }
+    orders_ = std::move(rest);
+    if (call.pieces.empty()) {
+        return call;
+    }
+    line.roomUsed += opened;
+    line.roomOpen += opened;
+    line.nominal = nominalTime(call.pieces.size());
+    call.expected = Duration(std::int64_t(double(line.nominal.count()) * std::max(line.slowness, 1.0)));
+    line.startedAt = line.triedAt = now;
+    line.piecesOpen = call.pieces.size();
+    ++line.callsOpen;
+    return call;
+}
+
+/** By when they are due; those that would be late come last, the most worthy of them first. */
+void BatchScheduler::sortOrders(Time now)
+{
+    const Time soonest = now + nominalTime(std::min(orders_.size(), traits_.piecesPerCall));
+    std::stable_sort(orders_.begin(), orders_.end(), [&](const PieceOrder &a, const PieceOrder &b) {
+        const bool lateA = a.due < soonest;
+        const bool lateB = b.due < soonest;
+        if (lateA != lateB) {
+            return lateB;
+        }
+        return lateA ? a.worth > b.worth : a.due < b.due;
+    });
+}
+
+} // namespace lacewing::stages
--- a/libs/telemetry/src/logger.cpp
+++ b/libs/telemetry/src/logger.cpp
@@ -97,9 +97,10 @@
 std::shared_ptr<log4cxx::WriterAppender> makeAppender(const settings::LogSettings &settings)
 {
     std::shared_ptr<log4cxx::WriterAppender> appender;
-    if (settings.file.empty()) {
+    if (settings.file.empty() || settings.file == settings::standardOutput) {
         const auto console = std::make_shared<log4cxx::ConsoleAppender>();
-        console->setTarget(log4cxx::ConsoleAppender::getSystemErr());
+        console->setTarget(settings.file.empty() ? log4cxx::ConsoleAppender::getSystemErr()
+                                                 : log4cxx::ConsoleAppender::getSystemOut());
         appender = console;
     } else {
         const auto file = std::make_shared<log4cxx::FileAppender>();
@@ -188,7 +189,8 @@
 
 Result<std::unique_ptr<Logger>> Logger::open(const settings::LogSettings &settings)
 {
-    if (!settings.file.empty() && !std::ofstream(settings.file, std::ios::app)) {
+    if (!settings.file.empty() && settings.file != settings::standardOutput
+        && !std::ofstream(settings.file, std::ios::app)) {
         return failure(ErrorKind::Io, "can't write to the log file " + settings.file);
     }
     return std::unique_ptr<Logger>(new Logger(std::make_unique<State>(settings)));
--- /dev/null
+++ b/tools/gateway/src/fleet_state.cpp
@@ -0,0 +1,273 @@
+#include "fleet_state.h"
+
+#include <algorithm>
+
+namespace lacewing::gateway
+{
+namespace
+{
+
+using userplatform::StoreRecord;
+using userplatform::Topic;
+
+/** For the desired state: changes are rare and must be in force within two seconds. */
+constexpr userplatform::WatchTimes operatorTimes { 1500ms, 0ms, 150ms };
+/** For endpoints: they write often, so several records are taken at a time. */
+constexpr userplatform::WatchTimes endpointTimes { 1500ms, 350ms, 150ms };
+/** For the VMs' own addresses, which beacons tell too. */
+constexpr userplatform::WatchTimes vmTimes { 10s, 1s, 500ms };
+/** Another VM is asked this often at most for what the store doesn't tell. */
+constexpr Duration askPeriod = 300ms;
+/** Entries that lapsed during an outage are looked at this often. */
+constexpr Duration expiryPeriod = 200ms;
+constexpr peer::CallLimits recordLimits { 300ms, 500ms, 500ms, 1s };
+
+std::string_view nameOf(Topic topic)
+{
+    switch (topic) {
+    case Topic::Operator:
+        return "operator";
+    case Topic::Endpoints:
+        return "endpoints";
+    case Topic::Vms:
+        break;
+    }
+    return "vms";
+}
+
+} // namespace
+
+FleetState::FleetState(Context &context, FleetLinks &links, std::function<void()> onChanged)
+    : context_(context)
+    , links_(links)
+    , onChanged_(std::move(onChanged))
+    , store_(context.loop, context.settings.storeAddress)
+    , endpoints_(context.settings.settleTime)
+{
+}
+
+void FleetState::start()
+{
+    watch(Topic::Operator, operatorTimes);
+    watch(Topic::Endpoints, endpointTimes);
+    watch(Topic::Vms, vmTimes);
+    const auto &settings = context_.settings;
+    store_.put(settings.vm.text(), settings.zone.text() + " " + links_.address());
+    context_.loop.timers().every(
+        context_.now() + expiryPeriod, expiryPeriod, [this](Time now) { expire(now); });
+}
+
+void FleetState::leave(std::function<void()> whenDone)
+{
+    store_.remove(context_.settings.vm.text(), std::move(whenDone));
+}
+
+void FleetState::watch(Topic topic, const userplatform::WatchTimes &times)
+{
+    userplatform::TopicHandlers handlers;
+    handlers.onSnapshot = [this, topic](std::vector<StoreRecord> all, LogOffset end) {
+        take(topic, std::move(all), end.value(), true);
+    };
+    handlers.onRecords = [this, topic](std::vector<StoreRecord> records, LogOffset end) {
+        take(topic, std::move(records), end.value(), false);
+    };
+    handlers.onLost = [this, topic](const std::string &why) {
+        mirrors_[topic].lost = true;
+        if (topic == Topic::Endpoints) {
+            endpoints_.registryLost(context_.now());
+        }
+        context_.logger.warn("store lost", { { "topic", nameOf(topic) }, { "why", why } });
+    };
+    handlers.onBack = [this, topic] {
+        mirrors_[topic].lost = false;
+        if (topic == Topic::Endpoints) {
+            endpoints_.registryBack(context_.now());
+        }
+        context_.logger.state("store back", { { "topic", nameOf(topic) } });
+    };
+    store_.watch(topic, times, std::move(handlers));
+}
+
+void FleetState::take(Topic topic, std::vector<StoreRecord> records, std::uint64_t end, bool isAll)
+{
+    Mirror &mirror = mirrors_[topic];
+    if (isAll && topic == Topic::Endpoints) {
+        std::vector<EndpointId> present;
+        for (const auto &record : records) {
+            present.emplace_back(record.key);
+        }
+        endpoints_.retain(present, context_.now());
+        endpointsKnown_ = true;
+    }
+    if (isAll) {
+        // A key that is not there any more was removed at an offset that isn't known: other VMs see it for themselves.
+        std::erase_if(mirror.newest, [&](const auto &item) {
+            return std::none_of(records.begin(), records.end(), [&](const auto &record) { return record.key == item.first; });
+        });
+    }
+    for (auto &record : records) {
+        auto &newest = mirror.newest[record.key];
+        if (newest.key.empty() || newest.offset <= record.offset) {
+            newest = record;
+            takeRecord(topic, record);
+        }
+    }
+    mirror.end = std::max(mirror.end, end);
+    changed();
+}
+
+void FleetState::takeRecord(Topic topic, const StoreRecord &record)
+{
+    switch (topic) {
+    case Topic::Operator:
+        takeDesiredState(record);
+        break;
+    case Topic::Endpoints:
+        takeEndpoint(record);
+        break;
+    case Topic::Vms:
+        takeVm(record);
+        break;
+    }
+}
+
+void FleetState::takeDesiredState(const StoreRecord &record)
+{
+    if (record.key != userplatform::desiredStateKey || !record.value) {
+        return;
+    }
+    auto state = userplatform::parseDesiredState(*record.value);
+    if (!state) {
+        context_.logger.error("desired state not understood",
+                              { { "offset", record.offset }, { "why", state.error().detail } });
+        return;
+    }
+    const auto version = state.value().version;
+    if (routes_ && version <= routes_->state().version) {
+        return;
+    }
+    routes_ = std::make_shared<const routing::RouteTable>(std::move(state.value()));
+    context_.logger.state("desired state in force",
+                          { { "version", version },
+                            { "routes", routes_->state().routes.size() },
+                            { "services", routes_->state().services.size() } });
+}
+
+void FleetState::takeEndpoint(const StoreRecord &record)
+{
+    const EndpointId id(record.key);
+    auto change = routing::DirectoryChange::None;
+    if (record.value) {
+        const auto entry = userplatform::parseEndpointEntry(record.key, *record.value);
+        if (!entry) {
+            // Such an entry names no endpoint that can be used.
+            context_.logger.warn("endpoint entry not understood", { { "endpoint", id }, { "why", entry.error().detail } });
+            change = endpoints_.remove(id, context_.now());
+        } else {
+            change = endpoints_.update(entry.value(), context_.now());
+        }
+    } else {
+        change = endpoints_.remove(id, context_.now());
+    }
+    switch (change) {
+    case routing::DirectoryChange::Joined:
+        context_.logger.state("endpoint joined", { { "endpoint", id }, { "offset", record.offset } });
+        break;
+    case routing::DirectoryChange::Leaving:
+        context_.logger.state("endpoint leaving", { { "endpoint", id }, { "offset", record.offset } });
+        break;
+    case routing::DirectoryChange::Gone:
+        context_.logger.state("endpoint gone", { { "endpoint", id }, { "offset", record.offset } });
+        break;
+    case routing::DirectoryChange::None:
+    case routing::DirectoryChange::Updated:
+        break;
+    }
+}
+
+void FleetState::takeVm(const StoreRecord &record)
+{
+    const VmId vm(record.key);
+    const auto space = record.value ? record.value->find(' ') : std::string::npos;
+    if (space == std::string::npos) {
+        links_.forget(vm);
+        return;
+    }
+    links_.know(vm, AvailabilityZoneId(record.value->substr(0, space)), record.value->substr(space + 1));
+}
+
+void FleetState::expire(Time now)
+{
+    if (endpoints_.expire(now) > 0) {
+        context_.logger.state("endpoints gone", { { "why", "not registered again after an outage of the store" } });
+        changed();
+    }
+}
+
+void FleetState::changed()
+{
+    links_.setView(routes_ ? routes_->state().version.value() : 0, mirrors_[Topic::Endpoints].end);
+    onChanged_();
+}
+
+void FleetState::heard(const VmId &vm, const Beacon &beacon)
+{
+    const std::uint64_t version = routes_ ? routes_->state().version.value() : 0;
+    if (beacon.stateVersion > version && (mirrors_[Topic::Operator].lost || !routes_)) {
+        askPeer(Topic::Operator, vm);
+    }
+    const Mirror &endpoints = mirrors_[Topic::Endpoints];
+    if (beacon.endpointsEnd > endpoints.end && (endpoints.lost || !endpointsKnown_)) {
+        askPeer(Topic::Endpoints, vm);
+    }
+}
+
+void FleetState::askPeer(Topic topic, const VmId &vm)
+{
+    Mirror &mirror = mirrors_[topic];
+    const Time now = context_.now();
+    if (mirror.askedPeerAt && now - *mirror.askedPeerAt < askPeriod) {
+        return;
+    }
+    mirror.askedPeerAt = now;
+    const RecordsRequest request { static_cast<std::uint32_t>(topic), mirror.end };
+    peer::CallHandlers handlers;
+    handlers.onData = [this, topic, vm](const std::string &message) {
+        const auto answer = wire::decode<RecordsAnswer>(message);
+        if (!answer) {
+            context_.logger.warn("records not understood", { { "vm", vm }, { "why", answer.error().detail } });
+            return;
+        }
+        std::vector<StoreRecord> records;
+        for (const auto &record : answer.value().records) {
+            auto value = record.isRemoval ? std::nullopt : std::optional(record.value);
+            records.push_back({ record.key, LogOffset(record.offset), std::move(value) });
+        }
+        std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
+        context_.logger.state("records from another vm",
+                              { { "topic", nameOf(topic) }, { "vm", vm }, { "records", records.size() } });
+        if (topic == Topic::Endpoints) {
+            endpointsKnown_ = true;
+        }
+        take(topic, std::move(records), answer.value().end, false);
+    };
+    links_.call(vm, envelope(MessageKind::Records, request), recordLimits, std::move(handlers));
+}
+
+void FleetState::answer(const RecordsRequest &request, peer::PeerCallWriter writer) const
+{
+    RecordsAnswer answer;
+    const auto mirror = mirrors_.find(Topic(request.topic));
+    if (mirror != mirrors_.end()) {
+        answer.end = mirror->second.end;
+        for (const auto &[key, record] : mirror->second.newest) {
+            if (record.offset.value() >= request.after) {
+                answer.records.push_back({ key, record.offset.value(), !record.value, record.value.value_or("") });
+            }
+        }
+    }
+    writer.write(wire::encode(answer));
+    writer.end();
+}
+
+} // namespace lacewing::gateway
--- /dev/null
+++ b/tools/gateway/src/main.cpp
@@ -0,0 +1,100 @@
+#include "gateway.h"
+
+#include <boost/outcome/try.hpp>
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+DEFINE_string(settings, "", "path of this VM's settings; by default the platform's variable names it");
+DEFINE_bool(check, false, "check the settings and end");
+
+namespace lacewing::gateway
+{
+namespace
+{
+
+constexpr int exitUsage = 2;
+constexpr int exitSettings = 3;
+constexpr int exitListen = 4;
+
+Result<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return failure(ErrorKind::Io, path + ": can't be read");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::uint64_t randomSeed()
+{
+    constexpr unsigned int halfBits = 32;
+    std::random_device device;
+    return (std::uint64_t(device()) << halfBits) | device();
+}
+
+int fail(int code, const Error &error)
+{
+    std::cerr << "lacewing-gateway: " << toText(error.kind) << ": " << error.detail << '\n';
+    return code;
+}
+
+Result<userplatform::VmSettings> readSettings(const std::string &path)
+{
+    BOOST_OUTCOME_TRY(text, readFile(path));
+    return userplatform::parseSettings(text, path);
+}
+
+int runGateway()
+{
+    const char *fromPlatform = std::getenv(userplatform::settingsVariable);
+    const std::string path = !FLAGS_settings.empty() ? FLAGS_settings : fromPlatform != nullptr ? fromPlatform : "";
+    if (path.empty()) {
+        return fail(exitUsage,
+                    { ErrorKind::Missing, std::string("--settings=FILE or ") + userplatform::settingsVariable + " is needed" });
+    }
+    const auto settings = readSettings(path);
+    if (!settings) {
+        return fail(exitSettings, settings.error());
+    }
+    if (FLAGS_check) {
+        std::cout << path << ": valid\n";
+        return 0;
+    }
+    settings::LogSettings logSettings;
+    logSettings.file = settings::standardOutput;
+    const auto logger = telemetry::Logger::open(logSettings);
+    if (!logger) {
+        return fail(exitSettings, logger.error());
+    }
+    telemetry::Metrics metrics;
+    net::EventLoop loop;
+    const std::uint64_t seed = randomSeed();
+    Context context { loop, settings.value(), *logger.value(), metrics, Incarnation(seed | 1U) };
+    Gateway gateway(context, seed);
+    if (const auto listening = gateway.listen(); !listening) {
+        return fail(exitListen, listening.error());
+    }
+    context.logger.state("started",
+                         { { "vm", settings.value().vm },
+                           { "zone", settings.value().zone },
+                           { "callers", net::toText(settings.value().callers) },
+                           { "store", settings.value().storeAddress } });
+    return gateway.run();
+}
+
+} // namespace
+} // namespace lacewing::gateway
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("serves callers on one VM of the users' platform: lacewing-gateway [--settings=FILE]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return lacewing::gateway::runGateway();
+}
--- /dev/null
+++ b/tools/gateway/src/piece_service.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "context.h"
+#include "fleet_links.h"
+#include "fleet_state.h"
+
+#include <dispatch/dispatch.h>
+#include <stages/stages.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewing::gateway
+{
+
+/** A result and the endpoint that holds it. */
+struct HeldResult {
+    stages::ResultHandle handle;
+    EndpointId endpoint;
+};
+
+/** What became of a piece that was submitted. */
+struct PieceOutcome {
+    std::optional<HeldResult> result;
+    userplatform::PieceFailure failure = userplatform::PieceFailure::Failed; ///< if there is no result
+};
+using PieceCallback = std::function<void(std::size_t index, const PieceOutcome &outcome)>;
+
+/** Names the pieces that were submitted together; 0 is none. */
+using Submission = Number<struct SubmissionTag>;
+
+/**
+ * Has pieces made.
+ *
+ * The calls of a service's endpoints are filled by one VM, so that they are as full as the load of all VMs together
+ * allows: every VM sends its pieces there. Which VM that is follows from the live VMs by rendezvous hashing; a wrong
+ * choice costs only fullness, as pieces may be made again. When that VM can't be reached, or the pieces come back
+ * undone, the next one in the order is used, at last this VM itself.
+ */
+class PieceService
+{
+public:
+    PieceService(Context &context, FleetLinks &links, FleetState &state);
+    ~PieceService();
+    PieceService(const PieceService &) = delete;
+    PieceService &operator=(const PieceService &) = delete;
+
+    /** Submits pieces of one service; the callback comes later, once for each. */
+    Submission submit(const routing::ServiceId &service,
+                      const AvailabilityZoneId &zone,
+                      std::vector<stages::PieceOrder> pieces,
+                      PieceCallback callback);
+    /** Takes pieces back; no callback comes any more. */
+    void cancel(Submission submission);
+    /** Gives up results. */
+    void release(const routing::ServiceId &service, const std::vector<HeldResult> &results);
+
+    /** Pieces that another VM has made here. */
+    void serve(PiecesRequest request, peer::PeerCallWriter writer);
+    /** Results that another VM gives up. */
+    void serve(const ReleaseMessage &message);
+    /** The desired state, the endpoints or the members have changed. */
+    void refresh();
+    /** Pieces that wait or are being made here. */
+    std::size_t pending() const;
+
+private:
+    class Batcher;
+    struct Open; ///< a submission of this VM
+
+    std::string scopeOf(const routing::ServiceId &service);
+    VmId chooseVm(const routing::ServiceId &service, const std::string &scope, const std::vector<VmId> &tried) const;
+    Batcher &batcher(const routing::ServiceId &service, const std::string &scope);
+    void place(const std::shared_ptr<Open> &open);
+    void placeHere(const std::shared_ptr<Open> &open);
+    void placeAt(const std::shared_ptr<Open> &open, const VmId &vm);
+    void placeAgain(const std::shared_ptr<Open> &open, const VmId &failed, const Error &error);
+    void finish(const std::shared_ptr<Open> &open, std::size_t index, const PieceOutcome &outcome);
+
+    Context &context_;
+    FleetLinks &links_;
+    FleetState &state_;
+    net::HttpClient client_;
+    std::map<std::pair<routing::ServiceId, std::string>, std::unique_ptr<Batcher>> batchers_;
+    std::unordered_map<Submission, std::shared_ptr<Open>> open_;
+    std::unordered_map<EndpointId, Time> unreachable_; ///< left out until
+    std::uint64_t lastSubmission_ = 0;
+    std::uint64_t lastTicket_ = 0;
+    telemetry::Counter calls_;
+    telemetry::Counter pieces_;
+    telemetry::Histogram fullness_;
+};
+
+} // namespace lacewing::gateway
