--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -120,12 +120,14 @@
         std::size_t open = 0; ///< own sends in progress
         double pendingMs = 0; ///< expected work of own sends that have no answer yet
         double latencyMs = 0; ///< learned time to the first byte; 0: unknown
-        double failureShare = 0; ///< learned
+        double failureShare = 0; ///< learned, as of failureAt
+        Time failureAt;
         int trips = 0; ///< failed trials in a row
         Time leftOutUntil;
         ReportedLoad load;
         Time loadAt;
     };
+    static double failureShareAt(const Health &health, Time now);
     double expectedMs(const Health &health, const Candidate &candidate, double typicalMs, Time now) const;
 
     Random random_;
--- a/libs/dispatch/src/endpoint_chooser.cpp
+++ b/libs/dispatch/src/endpoint_chooser.cpp
@@ -8,8 +8,12 @@
 namespace
 {
 
-/** Weight of the newest observation in learned times and shares. */
-constexpr double gain = 0.2;
+/** Weight of the newest observation in learned times. */
+constexpr double latencyGain = 0.2;
+/** Weight of the newest observation in the learned share of failures: some endpoints fail a request in seven. */
+constexpr double failureGain = 0.08;
+/** A share of failures counts half after this time without an observation, so that an endpoint is tried again. */
+constexpr double failureHalfLifeMs = 2000;
 /** Learned share of failures from which an endpoint is left out. */
 constexpr double failureLimit = 0.6;
 /** First time for which a failing endpoint is left out; doubles with each failed trial. */
@@ -24,7 +28,7 @@
 /** Expected time to an answer of an endpoint that has not answered yet, in ms. */
 constexpr double unknownLatencyMs = 50;
 /** Noise on expected times, as a share, so that VMs with the same view don't all choose alike. */
-constexpr double noiseShare = 0.1;
+constexpr double noiseShare = 0.05;
 
 } // namespace
 
@@ -101,10 +105,12 @@
     }
     if (firstByte && outcome == SendOutcome::Answered) {
         const double ms = toSeconds(*firstByte) * 1000;
-        health.latencyMs = health.latencyMs == 0 ? ms : health.latencyMs + gain * (ms - health.latencyMs);
+        health.latencyMs = health.latencyMs == 0 ? ms : health.latencyMs + latencyGain * (ms - health.latencyMs);
     }
     const bool failed = outcome != SendOutcome::Answered;
-    health.failureShare += gain * ((failed ? 1.0 : 0.0) - health.failureShare);
+    const double known = failureShareAt(health, now);
+    health.failureShare = known + failureGain * ((failed ? 1.0 : 0.0) - known);
+    health.failureAt = now;
     if (outcome == SendOutcome::Unreachable) {
         health.failureShare = 1;
     }
@@ -134,9 +140,8 @@
 
 void EndpointChooser::forgetAbsent(const routing::EndpointDirectory &directory)
 {
-    std::erase_if(health_, [&](const auto &item) {
-        return item.second.open == 0 && directory.find(item.first) == nullptr;
-    });
+    std::erase_if(health_,
+                  [&](const auto &item) { return item.second.open == 0 && directory.find(item.first) == nullptr; });
 }
 
 std::size_t EndpointChooser::open(const EndpointId &endpoint) const
@@ -145,10 +150,13 @@
     return found == health_.end() ? 0 : found->second.open;
 }
 
-double EndpointChooser::expectedMs(const Health &health,
-                                   const Candidate &candidate,
-                                   double typicalMs,
-                                   Time now) const
+double EndpointChooser::failureShareAt(const Health &health, Time now)
+{
+    const double ageMs = toSeconds(now - health.failureAt) * 1000;
+    return health.failureShare * std::exp2(-ageMs / failureHalfLifeMs);
+}
+
+double EndpointChooser::expectedMs(const Health &health, const Candidate &candidate, double typicalMs, Time now) const
 {
     const double latency = health.latencyMs > 0 ? health.latencyMs : typicalMs;
     const double ageMs = toSeconds(now - health.loadAt) * 1000;
@@ -157,7 +165,7 @@
     const double running = std::max(double(health.open), double(health.load.running) * fresh);
     const double waiting = double(health.load.waiting) * fresh + std::max(0.0, double(health.open) - slots);
     const double occupied = running / slots;
-    return latency * (1 + occupied * 0.5 + waiting / slots) + health.pendingMs + failureMs * health.failureShare
+    return latency * (1 + occupied * 0.5 + waiting / slots) + health.pendingMs + failureMs * failureShareAt(health, now)
         + candidate.extraMs;
 }
 
--- a/libs/dispatch/src/prefix_memory.cpp
+++ b/libs/dispatch/src/prefix_memory.cpp
@@ -16,8 +16,7 @@
     }
 }
 
-std::uint32_t
-PrefixMemory::keptTokens(const EndpointId &endpoint, std::span<const SharedPart> parts, Time now) const
+std::uint32_t PrefixMemory::keptTokens(const EndpointId &endpoint, std::span<const SharedPart> parts, Time now) const
 {
     const auto found = usedAt_.find(endpoint);
     if (found == usedAt_.end()) {
--- /dev/null
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -0,0 +1,203 @@
+#include <dispatch/dispatch.h>
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace lacewing;
+using namespace lacewing::dispatch;
+
+namespace
+{
+
+constexpr Time start { 100s };
+const AvailabilityZoneId zoneA("a");
+
+std::vector<routing::EndpointEntry> endpoints(std::size_t count)
+{
+    std::vector<routing::EndpointEntry> result;
+    for (std::size_t index = 0; index < count; ++index) {
+        routing::EndpointEntry entry;
+        entry.id = EndpointId("e" + std::to_string(index));
+        entry.zone = AvailabilityZoneId(index == 0 ? "a" : "b");
+        entry.slots = 4;
+        result.push_back(entry);
+    }
+    return result;
+}
+
+std::vector<Candidate> candidates(const std::vector<routing::EndpointEntry> &entries)
+{
+    std::vector<Candidate> result;
+    for (const auto &entry : entries) {
+        result.push_back({ &entry, 0 });
+    }
+    return result;
+}
+
+} // namespace
+
+/** Endpoints fail everything: each VM keeps to its part, and the fleet to the bound in every window. */
+Test(retryBudget, fleetKeepsToTheBoundInEveryWindow)
+{
+    const RetryBounds bounds { 0.2, 10s, 56 };
+    constexpr std::size_t vms = 8;
+    std::vector<RetryBudget> budgets(vms, RetryBudget(bounds));
+    for (auto &budget : budgets) {
+        budget.setVms(vms);
+    }
+    std::vector<std::pair<Time, bool>> seen; // time, is a repeat
+    Random random(1);
+    for (Time now = start; now < start + 40s; now += 10ms) {
+        auto &budget = budgets[random.below(vms)];
+        budget.requestSeen(now);
+        seen.emplace_back(now, false);
+        for (int repeat = 0; repeat < 3; ++repeat) {
+            if (budget.allowRepeat(now)) {
+                seen.emplace_back(now, true);
+            }
+        }
+    }
+    for (Time from = start; from < start + 30s; from += 500ms) {
+        double requests = 0;
+        double repeats = 0;
+        for (const auto &[time, isRepeat] : seen) {
+            if (time >= from && time < from + bounds.window) {
+                (isRepeat ? repeats : requests) += 1;
+            }
+        }
+        cr_assert_leq(repeats, bounds.ratio * requests + bounds.slack);
+        cr_assert_gt(repeats, 0.1 * requests, "hardly any repeat was allowed");
+    }
+}
+
+Test(retryBudget, slackAloneAllowsAFewRepeats)
+{
+    RetryBudget budget({ 0.2, 10s, 8 });
+    int allowed = 0;
+    for (int repeat = 0; repeat < 100; ++repeat) {
+        allowed += budget.allowRepeat(start) ? 1 : 0;
+    }
+    cr_assert_gt(allowed, 0);
+    cr_assert_leq(allowed, 8);
+}
+
+Test(endpointChooser, prefersTheOwnZoneAmongEquals)
+{
+    const auto entries = endpoints(3);
+    EndpointChooser chooser(1);
+    for (int round = 0; round < 50; ++round) {
+        cr_assert_eq(chooser.choose(candidates(entries), zoneA, start)->id, EndpointId("e0"));
+    }
+}
+
+Test(endpointChooser, noCandidatesNoChoice)
+{
+    EndpointChooser chooser(1);
+    cr_assert_null(chooser.choose({}, zoneA, start));
+}
+
+Test(endpointChooser, ownSendsCountBeforeTheyAreReported)
+{
+    const auto entries = endpoints(3);
+    EndpointChooser chooser(1);
+    std::map<EndpointId, int> sent;
+    for (int send = 0; send < 30; ++send) {
+        const auto *chosen = chooser.choose(candidates(entries), zoneA, start);
+        chooser.sendStarted(chosen->id, 20, start);
+        ++sent[chosen->id];
+    }
+    for (const auto &entry : entries) {
+        cr_assert_geq(sent[entry.id], 8, "%s got %d of 30", entry.id.text().c_str(), sent[entry.id]);
+    }
+}
+
+Test(endpointChooser, expensiveCandidateIsPassedOver)
+{
+    const auto entries = endpoints(2);
+    EndpointChooser chooser(1);
+    auto list = candidates(entries);
+    list[0].extraMs = 100;
+    cr_assert_eq(chooser.choose(list, zoneA, start)->id, EndpointId("e1"));
+}
+
+/** An endpoint fails all it gets while it calls itself healthy. */
+Test(endpointChooser, failingEndpointIsLeftOutAndTriedAgain)
+{
+    const auto entries = endpoints(2);
+    EndpointChooser chooser(1);
+    int failures = 0;
+    int lateChoices = 0;
+    for (int send = 0; send < 2'000; ++send) {
+        const Time now = start + 10ms * send;
+        const auto *chosen = chooser.choose(candidates(entries), zoneA, now);
+        chooser.sendStarted(chosen->id, 0, now);
+        const bool broken = chosen->id == EndpointId("e0") && send < 1'000;
+        failures += broken ? 1 : 0;
+        lateChoices += chosen->id == EndpointId("e0") && send >= 1'500 ? 1 : 0;
+        chooser.sendEnded(chosen->id, broken ? SendOutcome::Failed : SendOutcome::Answered, 5ms, now + 5ms);
+    }
+    cr_assert_lt(failures, 40, "%d of 1000 sends went to the failing endpoint", failures);
+    cr_assert_gt(lateChoices, 100, "the endpoint did not come back: %d", lateChoices);
+}
+
+Test(endpointChooser, allLeftOutIsBetterThanNone)
+{
+    const auto entries = endpoints(1);
+    EndpointChooser chooser(1);
+    chooser.sendStarted(EndpointId("e0"), 0, start);
+    chooser.sendEnded(EndpointId("e0"), SendOutcome::Unreachable, std::nullopt, start);
+    cr_assert(chooser.isLeftOut(EndpointId("e0"), start));
+    cr_assert_not_null(chooser.choose(candidates(entries), zoneA, start));
+}
+
+Test(endpointChooser, fewOrdinaryFailuresLeaveNobodyOut)
+{
+    EndpointChooser chooser(1);
+    Random random(7);
+    for (int send = 0; send < 3'000; ++send) {
+        const Time now = start + 10ms * send;
+        chooser.sendStarted(EndpointId("e0"), 0, now);
+        chooser.sendEnded(
+            EndpointId("e0"), random.chance(0.14) ? SendOutcome::Failed : SendOutcome::Answered, 5ms, now);
+        cr_assert_not(chooser.isLeftOut(EndpointId("e0"), now));
+    }
+}
+
+Test(prefixMemory, countsOnlyAWholeStart)
+{
+    PrefixMemory memory(5s);
+    const EndpointId engine("e");
+    const std::vector<SharedPart> seen { { 1, 100 }, { 2, 50 } };
+    memory.used(engine, seen, start);
+    const std::vector<SharedPart> same { { 1, 100 }, { 2, 50 }, { 9, 7 } };
+    const std::vector<SharedPart> other { { 3, 100 }, { 2, 50 } };
+    cr_assert_eq(memory.keptTokens(engine, same, start), 150U);
+    cr_assert_eq(memory.keptTokens(engine, other, start), 0U);
+    cr_assert_eq(memory.keptTokens(EndpointId("f"), same, start), 0U);
+    cr_assert_eq(memory.keptTokens(engine, same, start + 6s), 0U);
+    memory.expire(start + 6s);
+    cr_assert_eq(memory.keptTokens(engine, same, start), 0U);
+}
+
+Test(suspectList, barredAfterTheSecondCrash)
+{
+    SuspectList suspects;
+    const Fingerprint request(7);
+    cr_assert_eq(suspects.crashed(request, start), 1);
+    cr_assert_not(suspects.isBarred(request));
+    cr_assert_eq(suspects.crashed(request, start), 2);
+    cr_assert(suspects.isBarred(request));
+    cr_assert_not(suspects.isBarred(Fingerprint(8)));
+    suspects.expire(start + 300s);
+    cr_assert_not(suspects.isBarred(request));
+}
+
+Test(suspectList, anotherVmsCountIsTaken)
+{
+    SuspectList suspects;
+    suspects.merge(Fingerprint(7), 2, start);
+    cr_assert(suspects.isBarred(Fingerprint(7)));
+    suspects.merge(Fingerprint(7), 1, start);
+    cr_assert(suspects.isBarred(Fingerprint(7)), "an older count took it back");
+}
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -129,7 +129,10 @@
     skipping_ = false;
 }
 
-void ClientConnection::send(std::string request, bool headOnly, std::optional<Header> echo, ConnectionListener &listener)
+void ClientConnection::send(std::string request,
+                            bool headOnly,
+                            std::optional<Header> echo,
+                            ConnectionListener &listener)
 {
     echo_ = std::move(echo);
     writing_ = true;
@@ -278,8 +281,7 @@
 void ClientConnection::finish()
 {
     // A server may answer before it has read the whole request: the rest of it would still be due on the connection.
-    const bool reusable =
-        parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_ && !writing_;
+    const bool reusable = parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_ && !writing_;
     noteKeepAlive();
     listener_->completed(reusable);
 }
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -97,8 +97,8 @@
 
 std::size_t EndpointDirectory::expire(Time now)
 {
-    const auto dropped =
-        std::erase_if(records_, [&](const auto &item) { return item.second.missingUntil <= now && item.second.missingUntil; });
+    const auto dropped = std::erase_if(
+        records_, [&](const auto &item) { return item.second.missingUntil <= now && item.second.missingUntil; });
     if (dropped > 0) {
         ++revision_;
     }
--- /dev/null
+++ b/libs/routing/tests/endpoint_directory_test.cpp
@@ -0,0 +1,116 @@
+#include <routing/routing.h>
+
+#include <criterion/criterion.h>
+
+using namespace lacewing;
+using namespace lacewing::routing;
+
+namespace
+{
+
+constexpr Time start { 100s };
+
+EndpointEntry entry(const char *id, std::uint64_t born = 1, Readiness readiness = Readiness::Ready)
+{
+    EndpointEntry result;
+    result.id = EndpointId(id);
+    result.born = Incarnation(born);
+    result.service = ServiceId("s");
+    result.address = "10.0.0.1:80";
+    result.readiness = readiness;
+    return result;
+}
+
+struct Fixture {
+    EndpointDirectory directory { 2s };
+
+    bool serves(const char *id) const
+    {
+        return directory.find(EndpointId(id)) != nullptr;
+    }
+};
+
+} // namespace
+
+Test(endpointDirectory, leavingIsStickyWithinALifetime)
+{
+    Fixture f;
+    cr_assert_eq(f.directory.update(entry("e"), start), DirectoryChange::Joined);
+    cr_assert_eq(f.directory.update(entry("e", 1, Readiness::Leaving), start), DirectoryChange::Leaving);
+    f.directory.update(entry("e"), start);
+    cr_assert_not(f.serves("e"), "a lagging entry brought a leaving endpoint back");
+    cr_assert_eq(f.directory.update(entry("e", 2), start), DirectoryChange::Joined);
+    cr_assert(f.serves("e"));
+}
+
+Test(endpointDirectory, sameEntryIsNoChange)
+{
+    Fixture f;
+    f.directory.update(entry("e"), start);
+    const auto revision = f.directory.revision();
+    cr_assert_eq(f.directory.update(entry("e"), start), DirectoryChange::None);
+    cr_assert_eq(f.directory.revision(), revision);
+}
+
+Test(endpointDirectory, removedIsGoneAtOnceWhileTheRegistryAnswers)
+{
+    Fixture f;
+    f.directory.update(entry("e"), start);
+    cr_assert_eq(f.directory.remove(EndpointId("e"), start), DirectoryChange::Gone);
+    cr_assert_not(f.serves("e"));
+}
+
+Test(endpointDirectory, entriesThatLapsedInAnOutageAreKeptUntilTheyMayRegisterAgain)
+{
+    Fixture f;
+    f.directory.update(entry("back"), start);
+    f.directory.update(entry("dead"), start);
+    f.directory.registryLost(start);
+    f.directory.registryBack(start + 5s);
+    f.directory.remove(EndpointId("back"), start + 5s);
+    f.directory.remove(EndpointId("dead"), start + 5s);
+    cr_assert(f.serves("back") && f.serves("dead"));
+    f.directory.update(entry("back"), start + 6s);
+    cr_assert_eq(f.directory.expire(start + 6900ms), 0U);
+    cr_assert_eq(f.directory.expire(start + 7s), 1U);
+    cr_assert(f.serves("back"));
+    cr_assert_not(f.serves("dead"));
+}
+
+Test(endpointDirectory, leavingIsNotKeptThroughAnOutage)
+{
+    Fixture f;
+    f.directory.update(entry("e", 1, Readiness::Leaving), start);
+    f.directory.registryLost(start);
+    cr_assert_eq(f.directory.remove(EndpointId("e"), start), DirectoryChange::Gone);
+}
+
+Test(endpointDirectory, removalWellAfterAnOutageIsFinal)
+{
+    Fixture f;
+    f.directory.update(entry("e"), start);
+    f.directory.registryLost(start);
+    f.directory.registryBack(start + 1s);
+    cr_assert_eq(f.directory.remove(EndpointId("e"), start + 3s), DirectoryChange::Gone);
+}
+
+Test(endpointDirectory, retainRemovesTheAbsent)
+{
+    Fixture f;
+    f.directory.update(entry("a"), start);
+    f.directory.update(entry("b"), start);
+    cr_assert_eq(f.directory.retain({ EndpointId("b") }, start), 1U);
+    cr_assert_not(f.serves("a"));
+    cr_assert(f.serves("b"));
+}
+
+Test(endpointDirectory, rejectedUntilANewLifetime)
+{
+    Fixture f;
+    f.directory.update(entry("e"), start);
+    f.directory.reject(EndpointId("e"));
+    cr_assert_not(f.serves("e"));
+    cr_assert(f.directory.serving(ServiceId("s")).empty());
+    f.directory.update(entry("e", 2), start);
+    cr_assert_eq(f.directory.serving(ServiceId("s")).size(), 1U);
+}
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -73,9 +73,8 @@
 std::vector<PieceOrder> BatchScheduler::takeExpired(Time now)
 {
     std::vector<PieceOrder> expired;
-    const auto first = std::stable_partition(orders_.begin(), orders_.end(), [&](const PieceOrder &order) {
-        return now + nominalTime(1) <= order.limit;
-    });
+    const auto first = std::stable_partition(
+        orders_.begin(), orders_.end(), [&](const PieceOrder &order) { return now + nominalTime(1) <= order.limit; });
     std::move(first, orders_.end(), std::back_inserter(expired));
     orders_.erase(first, orders_.end());
     return expired;
@@ -171,7 +170,8 @@
         }
         ++usable;
         const auto length = Duration(std::int64_t(double(line.nominal.count()) * line.slowness));
-        const Duration left = line.callsOpen == 0 ? Duration::zero() : std::max(line.startedAt + length - now, Duration::zero());
+        const Duration left =
+            line.callsOpen == 0 ? Duration::zero() : std::max(line.startedAt + length - now, Duration::zero());
         soonest = std::min(soonest, left);
     }
     if (usable == 0) {
--- a/libs/stages/src/stage_plan.cpp
+++ b/libs/stages/src/stage_plan.cpp
@@ -109,8 +109,7 @@
         bool needed = false;
         for (std::uint32_t later = stage + 1; later < stages_.size(); ++later) {
             const auto &after = stages_[later].after;
-            needed = needed
-                || (std::find(after.begin(), after.end(), stage) != after.end() && !isStageComplete(later));
+            needed = needed || (std::find(after.begin(), after.end(), stage) != after.end() && !isStageComplete(later));
         }
         if (needed) {
             continue;
--- /dev/null
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -0,0 +1,265 @@
+#include <stages/stages.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <map>
+
+using namespace lacewing;
+using namespace lacewing::stages;
+
+namespace
+{
+
+constexpr Time start { 100s };
+
+routing::BatchTraits traits()
+{
+    routing::BatchTraits result;
+    result.piecesPerCall = 4;
+    result.callTime = 200ms;
+    result.pieceTime = 10ms;
+    result.resultRoom = Bytes(1000);
+    result.resultLife = 4s;
+    return result;
+}
+
+struct Fixture {
+    Fixture(std::size_t endpoints, routing::BatchTraits batch = traits())
+        : scheduler(batch)
+    {
+        std::vector<BatchEndpoint> list;
+        for (std::size_t index = 0; index < endpoints; ++index) {
+            list.push_back({ EndpointId("e" + std::to_string(index)), AvailabilityZoneId(index % 2 == 0 ? "a" : "b") });
+        }
+        scheduler.setEndpoints(list);
+    }
+
+    PieceTicket add(
+        Duration due = 1s, Duration limit = 5s, double worth = 1, std::uint64_t bytes = 1, const char *zone = "")
+    {
+        PieceOrder order;
+        order.ticket = PieceTicket(++lastTicket);
+        order.due = now + due;
+        order.limit = now + limit;
+        order.worth = worth;
+        order.resultBytes = Bytes(bytes);
+        order.zone = AvailabilityZoneId(zone);
+        scheduler.add(order);
+        return order.ticket;
+    }
+
+    BatchScheduler scheduler;
+    Time now = start;
+    std::uint64_t lastTicket = 0;
+};
+
+} // namespace
+
+Test(batchScheduler, idleEndpointStartsAtOnceAndWhatComesMeanwhileGoesTogether)
+{
+    Fixture f(1);
+    f.add();
+    auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.size(), 1U);
+    cr_assert_eq(calls[0].pieces.size(), 1U);
+    f.add();
+    f.add();
+    f.add();
+    cr_assert(f.scheduler.takeCalls(f.now).empty(), "a second call to a busy endpoint");
+    f.scheduler.callEnded(calls[0].endpoint, CallOutcome::Answered, 1, f.now + 210ms);
+    calls = f.scheduler.takeCalls(f.now + 210ms);
+    cr_assert_eq(calls.size(), 1U);
+    cr_assert_eq(calls[0].pieces.size(), 3U);
+}
+
+Test(batchScheduler, callIsNeverFullerThanAllowed)
+{
+    Fixture f(2);
+    for (int piece = 0; piece < 10; ++piece) {
+        f.add();
+    }
+    const auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.size(), 2U);
+    cr_assert_eq(calls[0].pieces.size(), 4U);
+    cr_assert_eq(calls[1].pieces.size(), 4U);
+    cr_assert_eq(f.scheduler.waiting(), 2U);
+}
+
+Test(batchScheduler, dueFirstAndLateOnesByWorth)
+{
+    Fixture f(1);
+    const auto late = f.add(100ms, 5s, 1);
+    const auto lateWorthy = f.add(100ms, 5s, 9);
+    const auto relaxed = f.add(3s);
+    const auto urgent = f.add(1s);
+    const auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.size(), 1U);
+    const auto &pieces = calls[0].pieces;
+    cr_assert_eq(pieces.size(), 4U);
+    cr_assert_eq(pieces[0].ticket, urgent);
+    cr_assert_eq(pieces[1].ticket, relaxed);
+    cr_assert_eq(pieces[2].ticket, lateWorthy);
+    cr_assert_eq(pieces[3].ticket, late);
+}
+
+Test(batchScheduler, whatCanNotBeMadeInTimeIsGivenBack)
+{
+    Fixture f(0);
+    const auto ticket = f.add(100ms, 500ms);
+    f.add(100ms, 5s);
+    cr_assert(f.scheduler.takeExpired(f.now + 200ms).empty());
+    const auto expired = f.scheduler.takeExpired(f.now + 300ms);
+    cr_assert_eq(expired.size(), 1U);
+    cr_assert_eq(expired[0].ticket, ticket);
+    cr_assert_eq(f.scheduler.waiting(), 1U);
+}
+
+Test(batchScheduler, cancelledPieceIsNotSent)
+{
+    Fixture f(1);
+    const auto ticket = f.add();
+    cr_assert(f.scheduler.cancel(ticket));
+    cr_assert_not(f.scheduler.cancel(ticket));
+    cr_assert(f.scheduler.takeCalls(f.now).empty());
+}
+
+Test(batchScheduler, resultsFitTheRoom)
+{
+    Fixture f(1);
+    for (int piece = 0; piece < 4; ++piece) {
+        f.add(1s, 5s, 1, 400);
+    }
+    auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.size(), 1U);
+    cr_assert_eq(calls[0].pieces.size(), 2U, "a third result would not fit");
+    f.scheduler.callEnded(calls[0].endpoint, CallOutcome::Answered, 2, f.now);
+    f.scheduler.resultMade(calls[0].endpoint, ResultHandle("r0"), Bytes(400), f.now);
+    f.scheduler.resultMade(calls[0].endpoint, ResultHandle("r1"), Bytes(400), f.now);
+    cr_assert(f.scheduler.takeCalls(f.now + 50ms).empty());
+    cr_assert_eq(f.scheduler.resultReleased(ResultHandle("r0")), EndpointId("e0"));
+    calls = f.scheduler.takeCalls(f.now + 100ms);
+    cr_assert_eq(calls.size(), 1U);
+    cr_assert_eq(calls[0].pieces.size(), 1U);
+    f.scheduler.callEnded(calls[0].endpoint, CallOutcome::Answered, 0, f.now + 300ms);
+    cr_assert_eq(f.scheduler.takeCalls(f.now + 4s).size(), 1U, "results end by themselves");
+}
+
+Test(batchScheduler, prefersTheWantedZone)
+{
+    Fixture f(4);
+    f.add(1s, 5s, 1, 1, "b");
+    const auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.size(), 1U);
+    cr_assert_eq(calls[0].endpoint, EndpointId("e1"));
+}
+
+Test(batchScheduler, declinedCallPausesTheEndpoint)
+{
+    Fixture f(1);
+    f.add();
+    const auto calls = f.scheduler.takeCalls(f.now);
+    f.scheduler.callEnded(calls[0].endpoint, CallOutcome::Declined, 0, f.now);
+    f.add();
+    cr_assert(f.scheduler.takeCalls(f.now).empty());
+    cr_assert_eq(f.scheduler.takeCalls(f.now + 100ms).size(), 1U);
+}
+
+Test(batchScheduler, endpointThatLeftGetsNoCall)
+{
+    Fixture f(2);
+    f.add();
+    const auto calls = f.scheduler.takeCalls(f.now);
+    f.scheduler.setEndpoints({ { EndpointId("e1"), AvailabilityZoneId("b") } });
+    f.scheduler.callEnded(calls[0].endpoint, CallOutcome::Answered, 1, f.now + 200ms);
+    f.add();
+    const auto next = f.scheduler.takeCalls(f.now + 200ms);
+    cr_assert_eq(next.size(), 1U);
+    cr_assert_eq(next[0].endpoint, EndpointId("e1"));
+}
+
+/**
+ * The load that the scheduler answers: many small requests against a large fixed cost of each call. Pieces arrive
+ * at 1.5 times what calls of one piece could carry, and at 60% of what full calls can.
+ */
+Test(batchScheduler, callsFillUpUnderLoad)
+{
+    routing::BatchTraits batch = traits();
+    batch.piecesPerCall = 14;
+    batch.pieceTime = 12ms;
+    batch.resultRoom = Bytes(0);
+    Fixture f(5, batch);
+    Random random(3);
+    std::map<EndpointId, std::pair<Time, BatchCall>> running;
+    std::size_t made = 0;
+    std::size_t late = 0;
+    std::size_t calls = 0;
+    Time nextArrival = start;
+    const Time end = start + 20s;
+    while (f.now < end) {
+        while (nextArrival <= f.now) {
+            f.add(700ms, 3s);
+            nextArrival += fromSeconds(random.exponential(1.0 / 114));
+        }
+        std::erase_if(running, [&](auto &item) {
+            if (item.second.first > f.now) {
+                return false;
+            }
+            made += item.second.second.pieces.size();
+            for (const auto &piece : item.second.second.pieces) {
+                late += piece.due < f.now ? 1 : 0;
+            }
+            f.scheduler.callEnded(item.first, CallOutcome::Answered, item.second.second.pieces.size(), f.now);
+            return true;
+        });
+        f.scheduler.takeExpired(f.now);
+        for (auto &call : f.scheduler.takeCalls(f.now)) {
+            ++calls;
+            const EndpointId endpoint = call.endpoint;
+            running[endpoint] = { f.now + call.expected, std::move(call) };
+        }
+        f.now += 1ms;
+    }
+    cr_assert_gt(made, 2150U, "made %zu", made);
+    cr_assert_lt(double(late) / double(made), 0.01, "late %zu of %zu", late, made);
+    cr_assert_gt(double(made) / double(calls), 4.0, "%zu pieces in %zu calls", made, calls);
+}
+
+/** One endpoint takes five times as long: the others carry the load, and it is found out when it has recovered. */
+Test(batchScheduler, slowEndpointGetsLittleUntilItRecovers)
+{
+    Fixture f(3);
+    Random random(5);
+    std::map<EndpointId, std::pair<Time, std::size_t>> running;
+    std::map<EndpointId, std::size_t> slowPhase;
+    std::map<EndpointId, std::size_t> lastPhase;
+    Time nextArrival = start;
+    while (f.now < start + 30s) {
+        const bool isSlow = f.now < start + 15s;
+        while (nextArrival <= f.now) {
+            f.add(700ms, 3s);
+            nextArrival += fromSeconds(random.exponential(1.0 / 18));
+        }
+        std::erase_if(running, [&](auto &item) {
+            if (item.second.first > f.now) {
+                return false;
+            }
+            f.scheduler.callEnded(item.first, CallOutcome::Answered, item.second.second, f.now);
+            return true;
+        });
+        f.scheduler.takeExpired(f.now);
+        for (auto &call : f.scheduler.takeCalls(f.now)) {
+            const Duration nominal = 200ms + 10ms * std::int64_t(call.pieces.size());
+            const bool slowOne = isSlow && call.endpoint == EndpointId("e0");
+            running[call.endpoint] = { f.now + (slowOne ? nominal * 5 : nominal), call.pieces.size() };
+            if (f.now > start + 5s && isSlow) {
+                slowPhase[call.endpoint] += call.pieces.size();
+            } else if (f.now > start + 22s) {
+                lastPhase[call.endpoint] += call.pieces.size();
+            }
+        }
+        f.now += 1ms;
+    }
+    cr_assert_lt(slowPhase[EndpointId("e0")] * 5, slowPhase[EndpointId("e1")]);
+    cr_assert_gt(lastPhase[EndpointId("e0")] * 3, lastPhase[EndpointId("e1")]);
+}
--- /dev/null
+++ b/libs/stages/tests/stage_plan_test.cpp
@@ -0,0 +1,211 @@
+#include <stages/stages.h>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace lacewing;
+using namespace lacewing::stages;
+
+namespace
+{
+
+using routing::RouteStage;
+using routing::ServiceId;
+
+RouteStage stage(const char *service, std::vector<std::uint32_t> after = {})
+{
+    return { ServiceId(service), std::move(after), Bytes(10) };
+}
+
+/** Two chains: 0 alone, and 1 -> 2 -> 3. */
+std::vector<RouteStage> twoChains()
+{
+    return { stage("a"), stage("a"), stage("b", { 1 }), stage("c", { 2 }) };
+}
+
+ResultHandle handleOf(PieceIndex index)
+{
+    return ResultHandle(std::to_string(index.stage) + "." + std::to_string(index.piece));
+}
+
+void completeAll(StagePlan &plan, const std::vector<ReadyPiece> &pieces)
+{
+    for (const auto &piece : pieces) {
+        cr_assert(plan.completed(piece.index, handleOf(piece.index)));
+    }
+}
+
+std::vector<std::string> texts(const std::vector<ResultHandle> &handles)
+{
+    std::vector<std::string> result;
+    for (const auto &handle : handles) {
+        result.push_back(handle.text());
+    }
+    return result;
+}
+
+using Texts = std::vector<std::string>;
+
+} // namespace
+
+Test(stagePlan, handsOutEachPieceOnceItsInputsExist)
+{
+    StagePlan plan(twoChains(), { 2, 1, 2, 1 });
+    const auto first = plan.takeReady();
+    cr_assert_eq(first.size(), 3U);
+    cr_assert(plan.takeReady().empty());
+    completeAll(plan, first);
+    const auto second = plan.takeReady();
+    cr_assert_eq(second.size(), 2U);
+    cr_assert(texts(second[0].inputs) == Texts { "1.0" });
+    completeAll(plan, second);
+    const auto third = plan.takeReady();
+    cr_assert_eq(third.size(), 1U);
+    cr_assert(texts(third[0].inputs) == (Texts { "2.0", "2.1" }));
+    completeAll(plan, third);
+    cr_assert(plan.isComplete());
+    cr_assert(texts(plan.finalInputs()) == (Texts { "0.0", "0.1", "3.0" }));
+}
+
+Test(stagePlan, leavesOutStagesWithoutPieces)
+{
+    StagePlan plan(twoChains(), { 0, 1, 1, 1 });
+    for (int round = 0; round < 3; ++round) {
+        completeAll(plan, plan.takeReady());
+    }
+    cr_assert(plan.isComplete());
+    cr_assert(texts(plan.finalInputs()) == Texts { "3.0" });
+}
+
+Test(stagePlan, releasesResultsThatNothingNeedsAnyMore)
+{
+    StagePlan plan(twoChains(), { 1, 1, 2, 1 });
+    completeAll(plan, plan.takeReady());
+    cr_assert(plan.takeReleasable().empty());
+    const auto second = plan.takeReady();
+    cr_assert(plan.completed(second[0].index, handleOf(second[0].index)));
+    cr_assert(plan.takeReleasable().empty(), "a piece still needs the result");
+    cr_assert(plan.completed(second[1].index, handleOf(second[1].index)));
+    cr_assert(texts(plan.takeReleasable()) == Texts { "1.0" });
+    cr_assert(plan.takeReleasable().empty());
+    completeAll(plan, plan.takeReady());
+    cr_assert(texts(plan.takeReleasable()) == (Texts { "2.0", "2.1" }));
+    cr_assert(texts(plan.takeAll()) == (Texts { "0.0", "3.0" }));
+}
+
+Test(stagePlan, failedPieceIsHandedOutAgain)
+{
+    StagePlan plan({ stage("a") }, { 2 });
+    const auto ready = plan.takeReady();
+    plan.failed(ready[1].index);
+    const auto again = plan.takeReady();
+    cr_assert_eq(again.size(), 1U);
+    cr_assert(again[0].index == ready[1].index);
+}
+
+Test(stagePlan, resultThatIsNotWaitedForIsNotTaken)
+{
+    StagePlan plan({ stage("a") }, { 1 });
+    cr_assert_not(plan.completed({ 0, 0 }, ResultHandle("x")));
+    cr_assert_not(plan.completed({ 0, 1 }, ResultHandle("x")));
+    cr_assert_not(plan.completed({ 1, 0 }, ResultHandle("x")));
+    plan.takeReady();
+    cr_assert(plan.completed({ 0, 0 }, ResultHandle("x")));
+    cr_assert_not(plan.completed({ 0, 0 }, ResultHandle("y")), "a second result for the same piece");
+}
+
+Test(stagePlan, lostInputsAreMadeAgain)
+{
+    StagePlan plan({ stage("a"), stage("b", { 0 }) }, { 1, 2 });
+    completeAll(plan, plan.takeReady());
+    const auto second = plan.takeReady();
+    plan.inputsGone(second[0].index);
+    auto again = plan.takeReady();
+    cr_assert_eq(again.size(), 1U);
+    cr_assert_eq(again[0].index.stage, 0U);
+    completeAll(plan, again);
+    again = plan.takeReady();
+    cr_assert_eq(again.size(), 1U, "the other piece is still being made");
+    cr_assert(again[0].index == second[0].index);
+}
+
+Test(stagePlan, lostLastResultsBringBackWhatTheyNeed)
+{
+    StagePlan plan(twoChains(), { 0, 1, 1, 1 });
+    for (int round = 0; round < 3; ++round) {
+        completeAll(plan, plan.takeReady());
+        plan.takeReleasable();
+    }
+    plan.finalInputsGone();
+    cr_assert_not(plan.isComplete());
+    const auto again = plan.takeReady();
+    cr_assert_eq(again.size(), 1U);
+    cr_assert_eq(again[0].index.stage, 1U, "the chain starts anew, as its results were given up");
+    completeAll(plan, again);
+    completeAll(plan, plan.takeReady());
+    completeAll(plan, plan.takeReady());
+    cr_assert(plan.isComplete());
+}
+
+Test(stagePlan, knowsHowDeepItIs)
+{
+    StagePlan plan(twoChains(), { 1, 1, 1, 1 });
+    cr_assert_eq(plan.depthLeft(), 3U);
+    cr_assert_eq(plan.depthAfter(0), 0U);
+    cr_assert_eq(plan.depthAfter(1), 2U);
+    completeAll(plan, plan.takeReady());
+    cr_assert_eq(plan.depthLeft(), 2U);
+}
+
+/** Whatever fails on the way, every final input is a result of the right piece, and each handle is released once. */
+Test(stagePlan, anyOrderOfFailuresEndsComplete)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        Random random(seed);
+        StagePlan plan(twoChains(),
+                       { std::uint32_t(random.below(3)),
+                         1,
+                         std::uint32_t(1 + random.below(3)),
+                         std::uint32_t(1 + random.below(3)) });
+        std::vector<ReadyPiece> open;
+        std::map<std::string, int> released;
+        std::uint64_t made = 0;
+        const auto count = [&](const std::vector<ResultHandle> &handles) {
+            for (const auto &handle : handles) {
+                ++released[handle.text()];
+            }
+        };
+        int disturbances = 0;
+        for (int step = 0; step < 500 && !plan.isComplete(); ++step) {
+            const auto ready = plan.takeReady();
+            open.insert(open.end(), ready.begin(), ready.end());
+            cr_assert_not(open.empty(), "stuck with seed %lu", static_cast<unsigned long>(seed));
+            const auto at = std::ptrdiff_t(random.below(open.size()));
+            const auto piece = open[std::size_t(at)];
+            open.erase(open.begin() + at);
+            if (disturbances < 8 && random.chance(0.3)) {
+                ++disturbances;
+                if (random.chance(0.5)) {
+                    plan.failed(piece.index);
+                } else {
+                    plan.inputsGone(piece.index);
+                }
+                continue;
+            }
+            cr_assert(plan.completed(piece.index, ResultHandle("h" + std::to_string(++made))));
+            count(plan.takeReleasable());
+        }
+        cr_assert(plan.isComplete(), "not complete with seed %lu", static_cast<unsigned long>(seed));
+        count(plan.takeAll());
+        for (const auto &[handle, times] : released) {
+            cr_assert_eq(times,
+                         1,
+                         "%s released %d times with seed %lu",
+                         handle.c_str(),
+                         times,
+                         static_cast<unsigned long>(seed));
+        }
+    }
+}
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -126,8 +126,8 @@
 std::size_t FleetLinks::liveCount() const
 {
     return 1 + static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](const auto &item) {
-        return isLive(item.second);
-    }));
+               return isLive(item.second);
+           }));
 }
 
 bool FleetLinks::isZoneHeard(const AvailabilityZoneId &zone) const
@@ -165,11 +165,14 @@
     }
 }
 
-peer::PeerCallHandle
-FleetLinks::call(const VmId &vm, std::string request, peer::CallLimits limits, peer::CallHandlers handlers)
+peer::PeerCallHandle FleetLinks::call(const VmId &vm,
+                                      std::string request,
+                                      peer::CallLimits limits,
+                                      peer::CallHandlers handlers)
 {
     const auto *known = find(vm);
-    return network_.call(known != nullptr ? known->address : std::string(), std::move(request), limits, std::move(handlers));
+    return network_.call(
+        known != nullptr ? known->address : std::string(), std::move(request), limits, std::move(handlers));
 }
 
 void FleetLinks::cancel(peer::PeerCallHandle handle)
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -66,7 +66,10 @@
 
     void send(const VmId &vm, std::string message);
     void sendToAll(const std::string &message);
-    peer::PeerCallHandle call(const VmId &vm, std::string request, peer::CallLimits limits, peer::CallHandlers handlers);
+    peer::PeerCallHandle call(const VmId &vm,
+                              std::string request,
+                              peer::CallLimits limits,
+                              peer::CallHandlers handlers);
     void cancel(peer::PeerCallHandle handle);
 
 private:
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -53,8 +53,7 @@
     watch(Topic::Vms, vmTimes);
     const auto &settings = context_.settings;
     store_.put(settings.vm.text(), settings.zone.text() + " " + links_.address());
-    context_.loop.timers().every(
-        context_.now() + expiryPeriod, expiryPeriod, [this](Time now) { expire(now); });
+    context_.loop.timers().every(context_.now() + expiryPeriod, expiryPeriod, [this](Time now) { expire(now); });
 }
 
 void FleetState::leave(std::function<void()> whenDone)
@@ -102,7 +101,8 @@
     if (isAll) {
         // A key that is not there any more was removed at an offset that isn't known: other VMs see it for themselves.
         std::erase_if(mirror.newest, [&](const auto &item) {
-            return std::none_of(records.begin(), records.end(), [&](const auto &record) { return record.key == item.first; });
+            return std::none_of(
+                records.begin(), records.end(), [&](const auto &record) { return record.key == item.first; });
         });
     }
     for (auto &record : records) {
@@ -161,7 +161,8 @@
         const auto entry = userplatform::parseEndpointEntry(record.key, *record.value);
         if (!entry) {
             // Such an entry names no endpoint that can be used.
-            context_.logger.warn("endpoint entry not understood", { { "endpoint", id }, { "why", entry.error().detail } });
+            context_.logger.warn("endpoint entry not understood",
+                                 { { "endpoint", id }, { "why", entry.error().detail } });
             change = endpoints_.remove(id, context_.now());
         } else {
             change = endpoints_.update(entry.value(), context_.now());
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -57,7 +57,8 @@
     , chooser_(random_.next())
     , prefixes_(prefixLife)
     , decisions_(context.logger)
-    , shared_ { context, links_, state_, pieces_, client_, chooser_, prefixes_, suspects_, decisions_, random_, {}, {}, {}, {} }
+    , shared_ { context,   links_,     state_,  pieces_, client_, chooser_, prefixes_,
+                suspects_, decisions_, random_, {},      {},      {},       {} }
     , callers_(context.loop,
                callerOptions(context),
                [this](net::HttpRequest request, net::ResponseWriter writer) {
@@ -71,8 +72,9 @@
     , metrics_(context.loop,
                net::HttpServerOptions().maxConnections(16),
                [this](const net::HttpRequest &, net::ResponseWriter writer) {
-                   writer.respond(
-                       net::status::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, context_.metrics.exposition());
+                   writer.respond(net::status::ok,
+                                  { { "Content-Type", "text/plain; version=0.0.4" } },
+                                  context_.metrics.exposition());
                })
 {
 }
@@ -126,8 +128,7 @@
     links_.leave();
     state_.leave([] {});
     callers_.closeBetweenRequests([] {});
-    context_.loop.timers().every(
-        context_.now() + stopCheckPeriod, stopCheckPeriod, [this](Time) { closeWhenQuiet(); });
+    context_.loop.timers().every(context_.now() + stopCheckPeriod, stopCheckPeriod, [this](Time) { closeWhenQuiet(); });
 }
 
 void Gateway::closeWhenQuiet()
@@ -139,10 +140,9 @@
     }
     const bool isQuiet = closing_ && shared_.open.empty() && pieces_.pending() == 0 && callers_.counters().open == 0;
     if (isQuiet || since >= context_.settings.stopGrace - killMargin) {
-        context_.logger.state("stopped",
-                              { { "vm", context_.settings.vm },
-                                { "open", shared_.open.size() },
-                                { "after_ms", toMilliseconds(since) } });
+        context_.logger.state(
+            "stopped",
+            { { "vm", context_.settings.vm }, { "open", shared_.open.size() }, { "after_ms", toMilliseconds(since) } });
         context_.loop.stop();
     }
 }
--- a/tools/gateway/src/main.cpp
+++ b/tools/gateway/src/main.cpp
@@ -56,8 +56,9 @@
     const char *fromPlatform = std::getenv(userplatform::settingsVariable);
     const std::string path = !FLAGS_settings.empty() ? FLAGS_settings : fromPlatform != nullptr ? fromPlatform : "";
     if (path.empty()) {
-        return fail(exitUsage,
-                    { ErrorKind::Missing, std::string("--settings=FILE or ") + userplatform::settingsVariable + " is needed" });
+        return fail(
+            exitUsage,
+            { ErrorKind::Missing, std::string("--settings=FILE or ") + userplatform::settingsVariable + " is needed" });
     }
     const auto settings = readSettings(path);
     if (!settings) {
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -171,8 +171,9 @@
             startSoon(Duration::zero());
             return;
         }
-        const auto made = std::count_if(
-            answers.value().begin(), answers.value().end(), [](const auto &answer) { return answer.handle.has_value(); });
+        const auto made = std::count_if(answers.value().begin(), answers.value().end(), [](const auto &answer) {
+            return answer.handle.has_value();
+        });
         scheduler_.callEnded(call.endpoint, stages::CallOutcome::Answered, static_cast<std::size_t>(made), now);
         owner_.context_.logger.debug("pieces made",
                                      { { "service", service_ },
@@ -286,7 +287,8 @@
 {
     std::vector<double> buckets;
     bucketsOf(buckets);
-    fullness_ = context.metrics.histogram({ "piece_call_fullness", "Share of a call's pieces that was used" }, {}, buckets);
+    fullness_ =
+        context.metrics.histogram({ "piece_call_fullness", "Share of a call's pieces that was used" }, {}, buckets);
 }
 
 PieceService::~PieceService() = default;
@@ -501,7 +503,8 @@
         order.ticket = stages::PieceTicket(++lastTicket_);
         order.zone = open->zone;
         open->tickets.push_back(order.ticket);
-        target.add(std::move(order), [this, open, index](const PieceOutcome &outcome) { finish(open, index, outcome); });
+        target.add(std::move(order),
+                   [this, open, index](const PieceOutcome &outcome) { finish(open, index, outcome); });
     }
 }
 
@@ -516,7 +519,8 @@
             continue;
         }
         const auto &piece = open->pieces[index];
-        PieceMessage message { piece.request.text(), piece.index.stage, piece.index.piece, piece.key, {}, 0, 0, piece.worth, piece.resultBytes.value() };
+        PieceMessage message { piece.request.text(), piece.index.stage,        piece.index.piece, piece.key, {}, 0, 0,
+                               piece.worth,          piece.resultBytes.value() };
         for (const auto &input : piece.inputs) {
             message.inputs.push_back(input.text());
         }
@@ -552,7 +556,8 @@
     };
     // What waits there is told in time by its limit, so the call itself has a limit just beyond that.
     const Duration total = limit - now + 2s;
-    open->call = links_.call(vm, envelope(MessageKind::Pieces, request), { linkLimit, 0s, 0s, total }, std::move(handlers));
+    open->call =
+        links_.call(vm, envelope(MessageKind::Pieces, request), { linkLimit, 0s, 0s, total }, std::move(handlers));
 }
 
 void PieceService::placeAgain(const std::shared_ptr<Open> &open, const VmId &failed, const Error &error)
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -16,7 +16,8 @@
 
 /** Wait for a connection to an endpoint; links within a region take a few ms. */
 constexpr Duration connectLimit = 400ms;
-/** Time that is kept for the engine to read a prompt and give its first event, when stages are given their due times. */
+/** Time that is kept for the engine to read a prompt and give its first event, when stages are given their due times.
+ */
 constexpr Duration engineReserve = 200ms;
 /** Time that a stage takes at usual load, for the due times of the stages before it. */
 constexpr Duration stageReserve = 300ms;
@@ -195,8 +196,7 @@
                 self->pieceDone(indices[index], outcome);
             }
         };
-        submissions_.push_back(
-            shared_.pieces.submit(service, resultZone(), std::move(orders), std::move(callback)));
+        submissions_.push_back(shared_.pieces.submit(service, resultZone(), std::move(orders), std::move(callback)));
     }
 }
 
@@ -306,8 +306,8 @@
             bytes[entry->zone] += 1 + route_->stages[stageOfResult_.at(handle)].resultBytes.value();
         }
     }
-    const auto most = std::max_element(
-        bytes.begin(), bytes.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    const auto most =
+        std::max_element(bytes.begin(), bytes.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
     return most == bytes.end() ? shared_.context.settings.zone : most->first;
 }
 
@@ -339,8 +339,8 @@
     const std::size_t connections = service != nullptr ? service->maxConnections : 0;
     for (const auto *entry : shared_.state.endpoints().serving(service_)) {
         const bool wasTried = std::find(tried_.begin(), tried_.end(), entry->id) != tried_.end();
-        const bool isFull = connections > 0
-            && shared_.chooser.open(entry->id) >= std::max<std::size_t>(connections / vms, 2);
+        const bool isFull =
+            connections > 0 && shared_.chooser.open(entry->id) >= std::max<std::size_t>(connections / vms, 2);
         if (wasTried || isFull) {
             continue;
         }
@@ -555,7 +555,8 @@
 {
     const int status = head_.status;
     const bool isConflict = status == net::status::conflict;
-    closeSend(answer_.isOtherEndpoint || isConflict ? dispatch::SendOutcome::Answered : dispatch::SendOutcome::Declined);
+    closeSend(answer_.isOtherEndpoint || isConflict ? dispatch::SendOutcome::Answered
+                                                    : dispatch::SendOutcome::Declined);
     if (!answer_.isOtherEndpoint) {
         ++sends_;
     }
@@ -627,10 +628,13 @@
     if (!allowed || (reached && !shared_.budget(service_).allowRepeat(now()))) {
         return false;
     }
-    shared_.decisions.write(
-        eventPassed_ ? "request resumed" : "request sent again",
-        { { "request", facts_.id }, { "route", route_->id }, { "why", why }, { "sends", sends_ }, { "after_event", lastEvent_ } },
-        now());
+    shared_.decisions.write(eventPassed_ ? "request resumed" : "request sent again",
+                            { { "request", facts_.id },
+                              { "route", route_->id },
+                              { "why", why },
+                              { "sends", sends_ },
+                              { "after_event", lastEvent_ } },
+                            now());
     splitter_.reset();
     if (plan_ && results_.empty()) {
         // The results were given up once the first engine had read them.
@@ -646,8 +650,8 @@
 void RequestRun::endpointWentDown(const EndpointId &)
 {
     const int crashes = shared_.suspects.crashed(fingerprint_, now());
-    shared_.links.sendToAll(envelope(
-        MessageKind::Suspect, SuspectMessage { fingerprint_.value(), static_cast<std::uint32_t>(crashes) }));
+    shared_.links.sendToAll(
+        envelope(MessageKind::Suspect, SuspectMessage { fingerprint_.value(), static_cast<std::uint32_t>(crashes) }));
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -691,7 +695,10 @@
                               { "stages_ms", stagesMs },
                               { "first_byte_ms", firstByte_ ? toMilliseconds(*firstByte_) : -1 },
                               { "sends", sends_ },
-                              { "endpoint", endpoint_ ? endpoint_->id.text() : tried_.empty() ? std::string() : tried_.back().text() } },
+                              { "endpoint",
+                                endpoint_            ? endpoint_->id.text()
+                                    : tried_.empty() ? std::string()
+                                                     : tried_.back().text() } },
                             end);
     phase_ = Phase::Done;
     shared_.context.loop.timers().cancel(deadlineTimer_);
--- /dev/null
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -0,0 +1,388 @@
+#include "harness.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <numeric>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace lacewing;
+using namespace lacewing::gateway_test;
+using Behaviour = platform_standin::Endpoint::Behaviour;
+using Json = nlohmann::json;
+
+namespace
+{
+
+Json route(const char *name, const char *kind, const char *service, Json more = Json::object())
+{
+    Json result { { "name", name },       { "host", "h.example" }, { "path-prefix", std::string("/") + name + "/" },
+                  { "kind", kind },       { "timeout-ms", 20000 }, { "target-latency-ms", 10000 },
+                  { "service", service }, { "attempts", 2 },       { "priority", 0 },
+                  { "public", false },    { "resumable", false } };
+    result.update(more);
+    return result;
+}
+
+Json stateOf(int version, Json routes)
+{
+    const Json pieces { { "slots", 1 },     { "queue", 2 },        { "batch", 8 },    { "call-ms", 1.0 },
+                        { "item-ms", 0.1 }, { "headroom-mb", 10 }, { "handle-s", 30 } };
+    return { { "version", version },
+             { "routes", std::move(routes) },
+             { "services",
+               { { { "name", "plain" }, { "max-conns", 100 } },
+                 { { "name", "other" }, { "max-conns", 100 } },
+                 { { "name", "engine" }, { "max-conns", 100 }, { "engine", { { "slots", 8 } } } },
+                 { { "name", "first" }, { "pieces", pieces } },
+                 { { "name", "second" }, { "pieces", pieces } } } },
+             { "tenants", { { { "name", "w" }, { "api-keys", { "k" } } } } } };
+}
+
+const Json stages = Json::array({ { { "service", "first" }, { "after", Json::array() }, { "bytes", 100 } },
+                                  { { "service", "second" }, { "after", { 0 } }, { "bytes", 100 } } });
+
+Json allRoutes()
+{
+    return { route("safe", "safe", "plain"),
+             route("unsafe", "unsafe", "plain"),
+             route("stream", "streaming", "engine"),
+             route("resumable", "streaming", "engine", { { "resumable", true } }),
+             route("staged", "streaming", "engine", { { "stages", stages } }),
+             route("open", "safe", "plain", { { "public", true } }) };
+}
+
+net::Headers headers(const char *id, const char *key = "k")
+{
+    return { { "Host", "h.example" },
+             { "Attempt-Id", id },
+             { "Deadline-Ms", "15000" },
+             { "Authorization", std::string("Bearer ") + key } };
+}
+
+std::string headerOf(const net::HttpRequest &request, std::string_view name)
+{
+    return std::string(request.header(name).value_or(""));
+}
+
+std::string eventText(int first)
+{
+    std::string text;
+    for (int event = first; event <= platform_standin::Endpoint::eventCount; ++event) {
+        text += net::sseEvent(std::to_string(event), "event " + std::to_string(event));
+    }
+    return text;
+}
+
+/** One VM before one plain endpoint and one engine. */
+struct Simple {
+    explicit Simple(Behaviour plainBehaviour = Behaviour::Answer,
+                    Behaviour engineBehaviour = Behaviour::Stream,
+                    std::size_t vms = 1)
+        : harness(vms)
+        , plain(harness.addEndpoint("p1", "plain", plainBehaviour))
+        , engine(harness.addEndpoint("g1", "engine", engineBehaviour))
+    {
+        harness.publish(stateOf(1, allRoutes()).dump());
+        harness.start();
+    }
+
+    Harness harness;
+    platform_standin::Endpoint &plain;
+    platform_standin::Endpoint &engine;
+};
+
+struct OutcomeCase {
+    char name[32];
+    char target[16];
+    char method[8];
+    Behaviour behaviour; ///< of the only endpoint that fits
+    int status;
+    bool whole;
+    std::size_t runs;
+    bool comesBack; ///< the caller is told when
+};
+
+OutcomeCase outcomeCases[] = {
+    { "safe answered", "/safe/x", "GET", Behaviour::Answer, 200, true, 1, false },
+    { "unsafe answered", "/unsafe/x", "POST", Behaviour::Answer, 200, true, 1, false },
+    { "unsafe failed", "/unsafe/x", "POST", Behaviour::Fail, 500, true, 1, false },
+    { "unsafe refused", "/unsafe/x", "POST", Behaviour::Refuse, 503, true, 0, true },
+    { "unsafe lost", "/unsafe/x", "POST", Behaviour::LoseAnswer, 502, true, 1, false },
+    { "unsafe without receipt", "/unsafe/x", "POST", Behaviour::Unsealed, 502, true, 1, false },
+    { "safe refused", "/safe/x", "GET", Behaviour::Refuse, 503, true, 0, true },
+    { "safe lost", "/safe/x", "GET", Behaviour::LoseAnswer, 502, true, 1, false },
+    { "stream", "/stream/x", "POST", Behaviour::Stream, 200, true, 1, false },
+    { "stream refused", "/stream/x", "POST", Behaviour::Refuse, 503, true, 0, true },
+    { "stream lost", "/stream/x", "POST", Behaviour::LoseAnswer, 502, true, 1, false },
+    { "stream cut", "/stream/x", "POST", Behaviour::CutStream, 200, false, 1, false },
+};
+
+} // namespace
+
+ParameterizedTestParameters(gateway, endsEachRequestTruly)
+{
+    return cr_make_param_array(OutcomeCase, outcomeCases, std::size(outcomeCases));
+}
+
+ParameterizedTest(OutcomeCase *test, gateway, endsEachRequestTruly)
+{
+    Simple f(test->behaviour, test->behaviour);
+    const auto answer = f.harness.ask(0, test->method, test->target, headers("id-1"), "body");
+    cr_assert_eq(answer.status, test->status, "%s: %d", test->name, answer.status);
+    cr_assert_eq(answer.whole, test->whole, "%s", test->name);
+    cr_assert_eq(f.plain.runs() + f.engine.runs(), test->runs, "%s", test->name);
+    cr_assert_eq(net::findHeader(answer.headers, "Retry-After").has_value(), test->comesBack, "%s", test->name);
+}
+
+Test(gateway, requestAndAnswerPassUnchanged)
+{
+    Simple f;
+    auto sent = headers("id-7");
+    sent.push_back({ "X-Other", "kept" });
+    sent.push_back({ "Tenant", "somebody" });
+    const auto answer = f.harness.ask(0, "POST", "/unsafe/a%2fb?q=1", sent, "the body");
+    cr_assert_eq(answer.status, 200);
+    cr_assert_str_eq(answer.body.c_str(), "answer to POST /unsafe/a%2fb?q=1 the body");
+    cr_assert_eq(*net::findHeader(answer.headers, "Runner-Seal"), "seal-p1");
+    const auto &arrived = f.plain.arrivals().at(0).request;
+    cr_assert_eq(headerOf(arrived, "Attempt-Id"), "id-7");
+    cr_assert_eq(headerOf(arrived, "X-Other"), "kept");
+    cr_assert_eq(headerOf(arrived, "Tenant"), "w");
+    cr_assert_eq(headerOf(arrived, "Host"), "h.example");
+    cr_assert_eq(headerOf(arrived, "Expect-Runner"), "p1");
+    cr_assert(headerOf(arrived, "Authorization").empty());
+    const int left = std::stoi(headerOf(arrived, "Deadline-Ms"));
+    cr_assert(left > 0 && left <= 15000);
+}
+
+Test(gateway, unknownKeysAndRoutesAreRefused)
+{
+    Simple f;
+    cr_assert_eq(f.harness.ask(0, "GET", "/safe/x", headers("1", "wrong")).status, 401);
+    cr_assert_eq(f.harness.ask(0, "GET", "/nothing/x", headers("2")).status, 404);
+    cr_assert_eq(f.harness.ask(0, "GET", "/open/x", { { "Host", "h.example" }, { "Attempt-Id", "3" } }).status, 200);
+    cr_assert_eq(f.harness.ask(0, "GET", "/safe/x", { { "Host", "h.example" }, { "Attempt-Id", "4" } }).status, 401);
+    cr_assert_eq(f.plain.runs(), 1U);
+}
+
+Test(gateway, onlyWhatMayRepeatIsSentAgain)
+{
+    Simple f(Behaviour::LoseAnswer);
+    f.harness.addEndpoint("p2", "plain", Behaviour::LoseAnswer);
+    f.harness.waitFor(
+        [&] {
+            return f.harness.ask(0, "GET", "/safe/x", headers("s")).status == 502
+                && f.plain.runs() + f.harness.endpoints()[2]->runs() >= 2;
+        },
+        "both endpoints");
+    const auto before = f.plain.runs() + f.harness.endpoints()[2]->runs();
+    cr_assert_eq(f.harness.ask(0, "POST", "/unsafe/x", headers("u"), "b").status, 502);
+    cr_assert_eq(f.plain.runs() + f.harness.endpoints()[2]->runs(), before + 1);
+}
+
+Test(gateway, foreignAnswerIsNotDelivered)
+{
+    Simple f(Behaviour::ForeignAnswer);
+    auto sent = headers("id-1");
+    sent[2].value = "700";
+    const auto answer = f.harness.ask(0, "POST", "/unsafe/x", sent, "b");
+    cr_assert_eq(answer.status, 504);
+}
+
+Test(gateway, cutStreamIsResumedAfterTheLastWholeEvent)
+{
+    Simple f(Behaviour::Answer, Behaviour::CutStream);
+    f.harness.addEndpoint("g2", "engine", Behaviour::Stream);
+    std::optional<Answer> resumed;
+    f.harness.waitFor(
+        [&] {
+            // Until the second engine is known, a cut stream has nowhere to go on.
+            auto answer = f.harness.ask(0, "POST", "/resumable/x", headers("id"), "b");
+            if (answer.whole && !f.engine.arrivals().empty()) {
+                resumed = answer;
+            }
+            return f.harness.endpoints()[2]->runs() > 0 && resumed.has_value();
+        },
+        "a resumed stream");
+    cr_assert(resumed->body == eventText(1), "%s", resumed->body.c_str());
+}
+
+Test(gateway, stagesAreMadeAndTheirResultsGivenUp)
+{
+    Simple f;
+    auto &first = f.harness.addEndpoint("f1", "first", Behaviour::Answer);
+    auto &second = f.harness.addEndpoint("s1", "second", Behaviour::Answer);
+    auto sent = headers("id-1");
+    sent.push_back({ "Pieces", "2,3" });
+    sent.push_back({ "Piece-Key", "cafe" });
+    std::optional<Answer> answer;
+    f.harness.waitFor(
+        [&] {
+            answer = f.harness.ask(0, "POST", "/staged/x", sent, "b");
+            return answer->status == 200;
+        },
+        "the endpoints of the stages");
+    cr_assert(answer->body == eventText(1), "%s", answer->body.c_str());
+    const auto inputs = headerOf(f.engine.arrivals().back().request, "Inputs");
+    cr_assert_eq(std::count(inputs.begin(), inputs.end(), ','), 2, "%s", inputs.c_str());
+    cr_assert_neq(inputs.find("id-1.1.0"), std::string::npos);
+    cr_assert_neq(inputs.find("id-1.1.2"), std::string::npos);
+    cr_assert_eq(inputs.find("id-1.0."), std::string::npos, "a result that a later stage has used");
+    f.harness.waitFor([&] { return first.results().empty() && second.results().empty(); }, "results given up");
+    cr_assert(first.complaints().empty() && second.complaints().empty());
+}
+
+Test(gateway, vmsFillCallsTogether)
+{
+    Simple f(Behaviour::Answer, Behaviour::Stream, 2);
+    auto &first = f.harness.addEndpoint("f1", "first", Behaviour::Answer);
+    f.harness.addEndpoint("s1", "second", Behaviour::Answer);
+    auto sent = headers("id");
+    sent.push_back({ "Pieces", "1,1" });
+    sent.push_back({ "Piece-Key", "cafe" });
+    f.harness.waitFor(
+        [&] {
+            return f.harness.ask(0, "POST", "/staged/x", sent, "b").status == 200
+                && f.harness.ask(1, "POST", "/staged/x", sent, "b").status == 200;
+        },
+        "both VMs");
+    std::vector<std::shared_ptr<std::optional<Answer>>> answers;
+    for (int request = 0; request < 24; ++request) {
+        sent[1].value = "id-" + std::to_string(request);
+        answers.push_back(f.harness.begin(std::size_t(request % 2), "POST", "/staged/x", sent, "b"));
+    }
+    for (const auto &answer : answers) {
+        f.harness.waitFor([&] { return answer->has_value(); }, "an answer");
+        cr_assert_eq((*answer)->status, 200);
+    }
+    const auto &calls = first.pieceCalls();
+    cr_assert_leq(*std::max_element(calls.begin(), calls.end()), 8U);
+    cr_assert_lt(calls.size(), 26U, "%zu calls: none was shared", calls.size());
+}
+
+Test(gateway, newDesiredStateTakesOverAndNeverReverts)
+{
+    Simple f;
+    auto &other = f.harness.addEndpoint("o1", "other", Behaviour::Answer);
+    auto routes = allRoutes();
+    routes[0]["service"] = "other";
+    f.harness.publish(stateOf(5, routes).dump());
+    f.harness.waitFor(
+        [&] { return f.harness.ask(0, "GET", "/safe/x", headers("1")).status == 200 && other.runs() > 0; },
+        "the new service");
+    const auto before = f.plain.runs();
+    f.harness.publish(stateOf(3, allRoutes()).dump());
+    routes.push_back(route("added", "safe", "plain"));
+    f.harness.publish(stateOf(9, routes).dump());
+    f.harness.waitFor([&] { return f.harness.ask(0, "GET", "/added/x", headers("2")).status == 200; },
+                      "the added route");
+    cr_assert_eq(f.harness.ask(0, "GET", "/safe/x", headers("3")).status, 200);
+    cr_assert_eq(f.plain.runs(), before + 1, "the older state came back");
+}
+
+Test(gateway, leavingEndpointGetsNoNewWork)
+{
+    Simple f;
+    auto &next = f.harness.addEndpoint("p2", "plain", Behaviour::Answer);
+    f.harness.registerEndpoint(f.plain, "draining");
+    f.harness.waitFor(
+        [&] {
+            f.harness.ask(0, "GET", "/safe/x", headers("1"));
+            return next.runs() >= 1;
+        },
+        "the next endpoint");
+    f.harness.registerEndpoint(f.plain, "ready"); // a lagging entry of the same lifetime
+    const auto before = f.plain.runs();
+    const auto reads = f.harness.store().reads();
+    f.harness.waitFor([&] { return f.harness.store().reads() >= reads + 4; }, "the entry to be read");
+    for (int request = 0; request < 20; ++request) {
+        cr_assert_eq(f.harness.ask(0, "POST", "/unsafe/x", headers("2"), "b").status, 200);
+    }
+    cr_assert_eq(f.plain.runs(), before);
+}
+
+Test(gateway, stopCutsNothing)
+{
+    Simple f(Behaviour::Hold);
+    const auto held = f.harness.begin(0, "POST", "/unsafe/x", headers("1"), "b");
+    f.harness.waitFor([&] { return f.plain.runs() == 1; }, "the request to run");
+    f.harness.signal(0, SIGTERM);
+    f.harness.waitFor([&] { return f.harness.readiness(0) == 503; }, "not ready");
+    f.plain.setBehaviour(Behaviour::Answer);
+    cr_assert_eq(f.harness.ask(0, "GET", "/safe/x", headers("2")).status,
+                 200,
+                 "callers still come until they are led elsewhere");
+    f.plain.releaseHeld();
+    f.harness.waitFor([&] { return held->has_value(); }, "the held answer");
+    cr_assert_eq((*held)->status, 200);
+    f.harness.waitFor([&] { return f.harness.hasEnded(0); }, "the end");
+}
+
+Test(gateway, callerThatLeavesEndsTheWork)
+{
+    Simple f(Behaviour::Hold);
+    net::HttpClient client(f.harness.loop(), {});
+    const auto held = f.harness.begin(0, "POST", "/unsafe/x", headers("1"), "b");
+    f.harness.waitFor([&] { return f.plain.runs() == 1; }, "the request to run");
+    auto second = headers("2");
+    second[2].value = "300"; // the caller's own time ends
+    const auto answer = f.harness.ask(0, "POST", "/unsafe/x", second, "b");
+    cr_assert_eq(answer.status, 504);
+    f.plain.releaseHeld();
+    f.harness.waitFor([&] { return held->has_value(); }, "the held answer");
+    cr_assert_eq((*held)->status, 200);
+}
+
+Test(gateway, servesOnWithoutTheStore)
+{
+    Simple f;
+    f.harness.store().setFault(platform_standin::Store::Fault::Busy);
+    const auto reads = f.harness.store().reads();
+    for (int request = 0; request < 20; ++request) {
+        cr_assert_eq(f.harness.ask(0, "GET", "/safe/x", headers("1")).status, 200);
+    }
+    f.harness.store().setFault(platform_standin::Store::Fault::None);
+    f.harness.publish(stateOf(2, Json::array({ route("new", "safe", "plain") })).dump());
+    f.harness.waitFor([&] { return f.harness.ask(0, "GET", "/new/x", headers("2")).status == 200; }, "the new state");
+    cr_assert_gt(f.harness.store().reads(), reads);
+}
+
+Test(gateway, forgottenHistoryIsReadAnew)
+{
+    Simple f;
+    auto &other = f.harness.addEndpoint("o1", "other", Behaviour::Answer);
+    f.harness.publish(stateOf(2, Json::array({ route("new", "safe", "other") })).dump());
+    f.harness.store().compact("keyed.op");
+    f.harness.store().compact("keyed.servers");
+    f.harness.waitFor([&] { return f.harness.ask(0, "GET", "/new/x", headers("2")).status == 200; }, "the new state");
+    cr_assert_eq(other.runs(), 1U);
+}
+
+Test(gateway, badEntryNamesNoEndpointAndTheOthersHold)
+{
+    Simple f;
+    f.harness.store().put("keyed.servers", "x1", "\x01\x02 not an entry");
+    f.harness.store().put("keyed.servers", "x2", R"({"service":"plain","address":7})");
+    f.harness.store().put("keyed.op", "config", "{broken");
+    auto &other = f.harness.addEndpoint("o1", "other", Behaviour::Answer);
+    f.harness.publish(
+        stateOf(2, Json::array({ route("new", "safe", "other"), route("safe", "safe", "plain") })).dump());
+    f.harness.waitFor([&] { return f.harness.ask(0, "GET", "/new/x", headers("1")).status == 200; }, "the new state");
+    cr_assert_eq(other.runs(), 1U);
+    cr_assert_eq(f.harness.ask(0, "GET", "/safe/x", headers("2")).status, 200);
+}
+
+Test(gateway, badSettingsAreNamed)
+{
+    Harness harness(0);
+    const std::string path = "/tmp/lacewing-gateway-bad-" + std::to_string(getpid()) + ".toml";
+    const std::string command = "echo 'node-name = 3' > " + path + "; " + LACEWING_GATEWAY_PROGRAM
+        + " --check --settings=" + path + " 2> " + path + ".err";
+    cr_assert_neq(std::system(command.c_str()), 0);
+    cr_assert_eq(std::system(("grep -q 'node-name' " + path + ".err").c_str()), 0);
+    std::system(("rm -f " + path + " " + path + ".err").c_str());
+}
--- /dev/null
+++ b/tools/gateway/tests/harness.cpp
@@ -0,0 +1,178 @@
+#include "harness.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace lacewing::gateway_test
+{
+namespace
+{
+
+constexpr std::uint16_t callersPort = 8625;
+constexpr std::uint16_t readinessPort = 8621;
+constexpr int firstInternalPort = 7740;
+/** Only ends a test that hangs; no check depends on it. */
+constexpr Duration patience = 30s;
+constexpr Duration step = 5ms;
+
+std::string settingsText(const Vm &vm, const std::string &zone, const std::string &store)
+{
+    return "node-name = \"" + vm.name + "\"\nzone = \"" + zone + "\"\nip = \"" + vm.ip + "\"\ninternal-ports = ["
+        + std::to_string(firstInternalPort) + ", " + std::to_string(firstInternalPort + 15) + "]\n[listen]\nfront = \""
+        + vm.ip + ":" + std::to_string(callersPort) + "\"\nready = \"" + vm.ip + ":" + std::to_string(readinessPort)
+        + "\"\n[bounds]\ngrace-s = 8\nbudget-slack = 50\n[platform]\naddress = \"" + store + "\"\n";
+}
+
+} // namespace
+
+Harness::Harness(std::size_t vms)
+    : client_(loop_, {})
+{
+    constexpr int numbers = 250;
+    const int process = getpid();
+    network_ =
+        "127." + std::to_string(1 + process / numbers % numbers) + "." + std::to_string(1 + process % numbers) + ".";
+    store_ = std::make_unique<platform_standin::Store>(loop_, ipOf(1));
+    cr_assert(store_->start().has_value());
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        vms_.push_back({ "vm-" + std::to_string(vm), ipOf(10 + vm), 0, {}, {} });
+    }
+}
+
+Harness::~Harness()
+{
+    for (const auto &vm : vms_) {
+        if (vm.process > 0) {
+            kill(vm.process, SIGKILL);
+            waitpid(vm.process, nullptr, 0);
+        }
+        unlink(vm.settingsPath.c_str());
+        unlink(vm.logPath.c_str());
+    }
+}
+
+std::string Harness::ipOf(std::size_t host) const
+{
+    return network_ + std::to_string(host);
+}
+
+platform_standin::Endpoint &Harness::addEndpoint(const std::string &id,
+                                                 const std::string &service,
+                                                 platform_standin::Endpoint::Behaviour behaviour)
+{
+    const platform_standin::Endpoint::Identity identity { id, service, "a" };
+    endpoints_.push_back(std::make_unique<platform_standin::Endpoint>(loop_, ipOf(2), identity));
+    auto &endpoint = *endpoints_.back();
+    cr_assert(endpoint.start().has_value());
+    endpoint.setBehaviour(behaviour);
+    registerEndpoint(endpoint);
+    return endpoint;
+}
+
+void Harness::registerEndpoint(const platform_standin::Endpoint &endpoint, const std::string &state)
+{
+    store_->put("keyed.servers", endpoint.identity().id, endpoint.entry(state));
+}
+
+void Harness::publish(const std::string &json)
+{
+    store_->put("keyed.op", "config", json);
+}
+
+void Harness::start()
+{
+    for (auto &vm : vms_) {
+        const std::string base = "/tmp/lacewing-gateway-test-" + std::to_string(getpid()) + "-" + vm.name;
+        vm.settingsPath = base + ".toml";
+        vm.logPath = base + ".log";
+        std::ofstream(vm.settingsPath) << settingsText(vm, "a", store_->address());
+        std::string program = LACEWING_GATEWAY_PROGRAM;
+        std::string flag = "--settings=" + vm.settingsPath;
+        char *const arguments[] = { program.data(), flag.data(), nullptr };
+        vm.process = fork();
+        cr_assert_geq(vm.process, 0);
+        if (vm.process == 0) {
+            // A failed check ends the test without its destructors: the gateway ends with it.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            const int log = open(vm.logPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+            dup2(log, STDOUT_FILENO);
+            dup2(log, STDERR_FILENO);
+            execv(program.c_str(), arguments);
+            _exit(127);
+        }
+    }
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+        waitFor([&] { return readiness(vm) == net::status::ok; }, "ready");
+    }
+}
+
+std::shared_ptr<std::optional<Answer>> Harness::begin(
+    std::size_t vm, const std::string &method, const std::string &target, net::Headers headers, std::string body)
+{
+    const auto result = std::make_shared<std::optional<Answer>>();
+    net::HttpCall call;
+    call.address = vms_[vm].ip + ":" + std::to_string(callersPort);
+    call.method = method;
+    call.target = target;
+    call.headers = std::move(headers);
+    call.body = std::move(body);
+    const net::HttpLimits limits { patience, patience, patience, patience };
+    net::fetch(client_, std::move(call), limits, [result](const net::HttpEnd &end, net::HttpResponse response) {
+        *result = Answer { !end.error, response.head.status, response.head.headers, std::move(response.body) };
+    });
+    return result;
+}
+
+Answer Harness::ask(
+    std::size_t vm, const std::string &method, const std::string &target, net::Headers headers, std::string body)
+{
+    const auto answer = begin(vm, method, target, std::move(headers), std::move(body));
+    waitFor([&] { return answer->has_value(); }, "an answer");
+    return **answer;
+}
+
+int Harness::readiness(std::size_t vm)
+{
+    net::HttpCall call;
+    call.address = vms_[vm].ip + ":" + std::to_string(readinessPort);
+    call.target = "/v1/ready";
+    std::optional<int> status;
+    net::fetch(client_, std::move(call), {}, [&](const net::HttpEnd &, const net::HttpResponse &response) {
+        status = response.head.status;
+    });
+    waitFor([&] { return status.has_value(); }, "a readiness check");
+    return *status;
+}
+
+void Harness::signal(std::size_t vm, int number)
+{
+    kill(vms_[vm].process, number);
+}
+
+bool Harness::hasEnded(std::size_t vm)
+{
+    if (vms_[vm].process > 0 && waitpid(vms_[vm].process, nullptr, WNOHANG) == vms_[vm].process) {
+        vms_[vm].process = 0;
+    }
+    return vms_[vm].process == 0;
+}
+
+void Harness::waitFor(const std::function<bool()> &condition, const char *what)
+{
+    const Time limit = loop_.clock().now() + patience;
+    while (!condition()) {
+        cr_assert(loop_.clock().now() < limit, "waited too long for %s", what);
+        const auto timer = loop_.timers().once(loop_.clock().now() + step, [this](Time) { loop_.stop(); });
+        loop_.run();
+        loop_.timers().cancel(timer);
+    }
+}
+
+} // namespace lacewing::gateway_test
