stages: admit a request for its whole path, and make large inputs in their own zone

Ruled out: engines (16% busy), the batchers' processor time. Change: VMs tell what a piece takes at the batchers; a request whose stages can't be done in time is refused at once, the least urgent and worthy first. Pieces with large inputs wait for their zone while that can make them in time, large first results are made in the zone of their session's engine.

--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -115,6 +115,7 @@
     double worth = 1; ///< of its request, for each piece; ranks pieces that are late anyway
     Bytes resultBytes; ///< approximate
     AvailabilityZoneId zone; ///< where it is best made; empty: anywhere
+    Bytes zoneBytes; ///< that cross zones if it is made elsewhere
 };
 
 /** An endpoint that makes pieces. */
@@ -145,6 +146,9 @@
  * themselves as it grows. Pieces go in order of when they are due; those that would be late wait for spare room, the
  * most worthy first. An endpoint that takes much longer than its peers only gets what they have no room for, and a
  * small call now and then to see whether it has recovered.
+ *
+ * A piece whose inputs or result are large waits for an endpoint of its own zone as long as that can make it in time;
+ * else any zone's endpoint takes it.
  */
 class BatchScheduler
 {
@@ -213,15 +217,64 @@
     double fastest() const noexcept;
     bool isSlow(const Line &line, double fastest) const noexcept;
     bool mayCall(const Line &line, Time now) const noexcept;
+    bool waitsForZone(const PieceOrder &order, const Line &line, Time now) const;
+    Duration lengthOf(const Line &line) const noexcept;
     void dropOldResults(Time now);
-    Line *chooseLine(Time now, const AvailabilityZoneId &zone, std::size_t waiting);
+    Line *chooseLine(Time now, const AvailabilityZoneId &zone, const std::vector<EndpointId> &passed);
+    void countHomeless();
     BatchCall fill(Line &line, Time now, std::size_t most);
     void sortOrders(Time now);
 
     routing::BatchTraits traits_;
     std::vector<PieceOrder> orders_;
+    std::unordered_map<AvailabilityZoneId, std::size_t> waitingByZone_; ///< pieces that are best made there
     std::unordered_map<EndpointId, Line> lines_;
     std::unordered_map<ResultHandle, Held> held_;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Admission of a whole path
+
+/** What decides who is refused first. */
+struct PathRequest {
+    Duration elapsed {}; ///< since the request came
+    Duration target {}; ///< in which it should be done
+    Duration afterStages {}; ///< that its last step will take
+    int rank = 0; ///< 0 is the most urgent
+    double relativeWorth = 1; ///< credit for each piece, against the mean of its route
+};
+
+/** Whether a request may begin. */
+struct PathDecision {
+    bool admitted = true;
+    Duration predicted {}; ///< until the stages would be done
+    Duration comeBackAfter {}; ///< if refused: when there should be room
+};
+
+/**
+ * Admits a request for all its stages or for none.
+ *
+ * Load pattern: bursts beyond what a stage can carry. Requests that can't be done in time would use up the first stages
+ * and be late at the last, and make the others late too. What all stages together will take is predicted from what the
+ * VMs tell of their queues; the longer it is against the target, the more is refused: the least urgent and least worthy
+ * first, so that the queues settle where the others are on time.
+ */
+class PathAdmission
+{
+public:
+    /** A VM tells how long a piece of a service takes there now, until it is made. */
+    void reported(const routing::ServiceId &service, Duration expected, Time now);
+    /** Time that a service's stage takes now; empty when nobody has told lately. */
+    std::optional<Duration> expected(const routing::ServiceId &service, Time now) const;
+
+    PathDecision decide(const StagePlan &plan, const PathRequest &request, Time now) const;
+
+private:
+    struct Report {
+        Duration expected {};
+        Time at;
+    };
+    std::unordered_map<routing::ServiceId, Report> reports_;
+};
+
 } // namespace lacewing::stages
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -24,6 +24,12 @@
 constexpr Duration declinedPause = 40ms;
 /** An endpoint that lost a call is asked again after this time. */
 constexpr Duration lostPause = 400ms;
+/** From this many bytes on that would cross zones, a piece waits for an endpoint of its own zone. */
+constexpr std::uint64_t zoneBytesToWait = 100'000;
+/** Time that must be left over when a piece waits for its own zone. */
+constexpr Duration zoneWaitMargin = 30ms;
+/** A free endpoint is offered again what waited for another zone or for room after this time. */
+constexpr Duration recheckPeriod = 40ms;
 /** Waiting pieces are looked at this often for those that can't be made in time. */
 constexpr Duration expiryPeriod = 100ms;
 
@@ -88,16 +94,18 @@
         return calls;
     }
     sortOrders(now);
+    countHomeless();
+    std::vector<EndpointId> passed; // endpoints for which no piece is at hand
     while (!orders_.empty()) {
-        Line *line = chooseLine(now, orders_.front().zone, orders_.size());
+        Line *line = chooseLine(now, orders_.front().zone, passed);
         if (line == nullptr) {
             break;
         }
         const bool trial = isSlow(*line, fastest());
         BatchCall call = fill(*line, now, trial ? slowTrialPieces : traits_.piecesPerCall);
         if (call.pieces.empty()) {
-            // No room for any result: asked again once some were given up.
-            line->avoidUntil = now + declinedPause;
+            // No room for any result, or all pieces wait for another zone.
+            passed.push_back(line->endpoint.id);
             continue;
         }
         calls.push_back(std::move(call));
@@ -195,7 +203,7 @@
     }
     for (const auto &[id, line] : lines_) {
         if (line.isListed && line.callsOpen < traits_.callsInWork) {
-            consider(line.avoidUntil);
+            consider(std::max(line.avoidUntil, line.triedAt + recheckPeriod));
             if (isSlow(line, fastest())) {
                 consider(line.triedAt + slowTrialPeriod);
             }
@@ -249,8 +257,11 @@
 }
 
 /** The free endpoint for the next call: fast before slow, in the wanted zone before others, then the emptiest. */
-BatchScheduler::Line *BatchScheduler::chooseLine(Time now, const AvailabilityZoneId &zone, std::size_t waiting)
+BatchScheduler::Line *BatchScheduler::chooseLine(Time now,
+                                                 const AvailabilityZoneId &zone,
+                                                 const std::vector<EndpointId> &passed)
 {
+    const std::size_t waiting = orders_.size();
     const double best = fastest();
     std::size_t fastLines = 0;
     for (const auto &[id, line] : lines_) {
@@ -270,7 +281,7 @@
         return line.endpoint.id < than.endpoint.id;
     };
     for (auto &[id, line] : lines_) {
-        if (!mayCall(line, now)) {
+        if (!mayCall(line, now) || std::find(passed.begin(), passed.end(), id) != passed.end()) {
             continue;
         }
         const bool isTrialDue = now - line.triedAt >= slowTrialPeriod;
@@ -295,7 +306,7 @@
     for (auto &order : orders_) {
         const std::uint64_t bytes = order.resultBytes.value();
         const bool fits = traits_.resultRoom.value() == 0 || line.roomUsed + opened + bytes <= room;
-        if (call.pieces.size() < most && fits) {
+        if (call.pieces.size() < most && fits && !waitsForZone(order, line, now)) {
             opened += bytes;
             call.pieces.push_back(std::move(order));
         } else {
@@ -316,6 +327,46 @@
     return call;
 }
 
+Duration BatchScheduler::lengthOf(const Line &line) const noexcept
+{
+    return Duration(std::int64_t(double(line.nominal.count()) * std::max(line.slowness, 1.0)));
+}
+
+void BatchScheduler::countHomeless()
+{
+    waitingByZone_.clear();
+    for (const auto &order : orders_) {
+        if (order.zoneBytes.value() >= zoneBytesToWait) {
+            ++waitingByZone_[order.zone];
+        }
+    }
+}
+
+/** True when an endpoint of the piece's own zone will be free early enough, and the line is in another zone. */
+bool BatchScheduler::waitsForZone(const PieceOrder &order, const Line &line, Time now) const
+{
+    if (order.zoneBytes.value() < zoneBytesToWait || line.endpoint.zone == order.zone) {
+        return false;
+    }
+    std::size_t homes = 0;
+    Time soonest = Time::max();
+    for (const auto &[id, home] : lines_) {
+        if (home.endpoint.zone != order.zone || !home.isListed || isSlow(home, fastest())) {
+            continue;
+        }
+        ++homes;
+        const Time free = home.callsOpen < traits_.callsInWork ? now : home.startedAt + lengthOf(home);
+        soonest = std::min(soonest, std::max({ free, now, home.avoidUntil }));
+    }
+    const auto found = waitingByZone_.find(order.zone);
+    const std::size_t waiting = found == waitingByZone_.end() ? 0 : found->second;
+    if (homes == 0 || waiting > homes * traits_.piecesPerCall) {
+        return false;
+    }
+    const Duration call = nominalTime(std::min(waiting, traits_.piecesPerCall));
+    return soonest + call + zoneWaitMargin <= order.due;
+}
+
 /** By when they are due; those that would be late come last, the most worthy of them first. */
 void BatchScheduler::sortOrders(Time now)
 {
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -154,6 +154,38 @@
     cr_assert_eq(calls[0].endpoint, EndpointId("e1"));
 }
 
+/** A piece with large inputs waits for its own zone while that can make it in time, and goes elsewhere otherwise. */
+Test(batchScheduler, largeInputsWaitForTheirZone)
+{
+    for (const bool isUrgent : { false, true }) {
+        Fixture f(2);
+        PieceOrder first;
+        first.ticket = PieceTicket(1);
+        first.due = first.limit = f.now + 5s;
+        first.zone = AvailabilityZoneId("a");
+        f.scheduler.add(first);
+        const auto busy = f.scheduler.takeCalls(f.now);
+        cr_assert_eq(busy.at(0).endpoint, EndpointId("e0"));
+        PieceOrder large;
+        large.ticket = PieceTicket(2);
+        large.due = f.now + (isUrgent ? 300ms : 900ms);
+        large.limit = f.now + 5s;
+        large.zone = AvailabilityZoneId("a");
+        large.zoneBytes = Bytes(2'000'000);
+        f.scheduler.add(large);
+        const auto calls = f.scheduler.takeCalls(f.now);
+        cr_assert_eq(calls.size(), isUrgent ? 1U : 0U);
+        if (isUrgent) {
+            cr_assert_eq(calls[0].endpoint, EndpointId("e1"));
+            continue;
+        }
+        f.scheduler.callEnded(EndpointId("e0"), CallOutcome::Answered, 1, f.now + 210ms);
+        const auto home = f.scheduler.takeCalls(f.now + 210ms);
+        cr_assert_eq(home.size(), 1U);
+        cr_assert_eq(home[0].endpoint, EndpointId("e0"));
+    }
+}
+
 Test(batchScheduler, declinedCallPausesTheEndpoint)
 {
     Fixture f(1);
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -187,6 +187,7 @@
 
 void FleetLinks::sendBeacons(Time now)
 {
+    own_.loads = handlers_.loads();
     const std::string message = envelope(MessageKind::Beacon, own_);
     for (auto &[id, vm] : vms_) {
         const Duration period = isLive(vm) ? Duration::zero() : silentBeaconPeriod;
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -29,6 +29,7 @@
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
     std::function<void(const RecordsRequest &, peer::PeerCallWriter)> onRecords;
     std::function<void(const VmId &, const Beacon &)> onBeacon;
+    std::function<std::vector<LoadMessage>()> loads; ///< for the next beacon
     std::function<void()> onMembersChanged; ///< a VM came, left or fell silent
 };
 
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -179,7 +179,11 @@
     handlers.onRecords = [this](const RecordsRequest &request, peer::PeerCallWriter writer) {
         state_.answer(request, std::move(writer));
     };
-    handlers.onBeacon = [this](const VmId &vm, const Beacon &beacon) { state_.heard(vm, beacon); };
+    handlers.onBeacon = [this](const VmId &vm, const Beacon &beacon) {
+        state_.heard(vm, beacon);
+        pieces_.heard(beacon.loads);
+    };
+    handlers.loads = [this] { return pieces_.loads(); };
     handlers.onMembersChanged = [this] { pieces_.refresh(); };
     return handlers;
 }
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -10,6 +10,15 @@
 namespace lacewing::gateway
 {
 
+/** How long a piece takes at the VM that fills a service's calls. */
+struct LoadMessage {
+    std::string service;
+    std::string scope; ///< zone whose endpoints are used; empty: all
+    std::uint32_t expectedMs = 0;
+
+    LACEWING_MEMBERS(service, scope, expectedMs)
+};
+
 /** Sent by each VM to all others, again and again: it is alive, and how far its view goes. */
 struct Beacon {
     std::string vm;
@@ -19,8 +28,9 @@
     bool leaving = false;
     std::uint64_t stateVersion = 0; ///< desired state in force there
     std::uint64_t endpointsEnd = 0; ///< offset up to which it knows endpoints' registrations
+    std::vector<LoadMessage> loads; ///< of the services whose calls it fills
 
-    LACEWING_MEMBERS(vm, zone, address, incarnation, leaving, stateVersion, endpointsEnd)
+    LACEWING_MEMBERS(vm, zone, address, incarnation, leaving, stateVersion, endpointsEnd, loads)
 };
 
 /** One piece in a call to the VM that fills the calls of its service. */
@@ -34,8 +44,9 @@
     std::int64_t limitMs = 0; ///< from now
     double worth = 0;
     std::uint64_t resultBytes = 0;
+    std::uint64_t zoneBytes = 0; ///< that cross zones if it is made in another than wanted
 
-    LACEWING_MEMBERS(request, stage, piece, key, inputs, dueMs, limitMs, worth, resultBytes)
+    LACEWING_MEMBERS(request, stage, piece, key, inputs, dueMs, limitMs, worth, resultBytes, zoneBytes)
 };
 
 /** Asks another VM to have pieces made. */
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -20,6 +20,8 @@
 constexpr Duration unreachableTime = 700ms;
 /** Results that were given up are told to their endpoint together after this time. */
 constexpr Duration releaseDelay = 20ms;
+/** Least time between two looks at what waits without any event. */
+constexpr Duration recheckTime = 20ms;
 /** Wait for a link to the VM that fills a service's calls. */
 constexpr Duration linkLimit = 300ms;
 
@@ -108,6 +110,13 @@
         return callbacks_.size();
     }
 
+    /** Time until a piece added now would be made; empty when no endpoint is known. */
+    std::optional<Duration> expectedTime() const
+    {
+        const Duration time = scheduler_.expectedTime(owner_.context_.now());
+        return time == Duration::max() ? std::nullopt : std::optional(std::min<Duration>(time, 60s));
+    }
+
 private:
     void startSoon(Duration wait)
     {
@@ -133,7 +142,7 @@
             send(std::move(call));
         }
         if (const auto due = scheduler_.nextDue()) {
-            startSoon(std::max<Duration>(*due - now, 5ms));
+            startSoon(std::max<Duration>(*due - now, recheckTime));
         }
     }
 
@@ -377,6 +386,7 @@
         order.worth = piece.worth;
         order.resultBytes = Bytes(piece.resultBytes);
         order.zone = AvailabilityZoneId(request.zone);
+        order.zoneBytes = Bytes(piece.zoneBytes);
         served->tickets.push_back(order.ticket);
         target.add(std::move(order), [served, index](const PieceOutcome &outcome) {
             PieceResult result { index, {}, {}, static_cast<std::uint32_t>(outcome.failure) };
@@ -432,6 +442,32 @@
     }
 }
 
+std::vector<LoadMessage> PieceService::loads()
+{
+    std::vector<LoadMessage> result;
+    for (const auto &[key, batcher] : batchers_) {
+        const auto &[service, scope] = key;
+        if (chooseVm(service, scope, {}) != context_.settings.vm) {
+            continue;
+        }
+        if (const auto expected = batcher->expectedTime()) {
+            result.push_back({ service.text(), scope, static_cast<std::uint32_t>(toMilliseconds(*expected)) });
+        }
+    }
+    heard(result);
+    return result;
+}
+
+void PieceService::heard(const std::vector<LoadMessage> &loads)
+{
+    for (const auto &load : loads) {
+        const routing::ServiceId service(load.service);
+        if (load.scope == scopeOf(service)) {
+            admission_.reported(service, std::chrono::milliseconds(load.expectedMs), context_.now());
+        }
+    }
+}
+
 std::size_t PieceService::pending() const
 {
     std::size_t count = 0;
@@ -524,6 +560,7 @@
         for (const auto &input : piece.inputs) {
             message.inputs.push_back(input.text());
         }
+        message.zoneBytes = piece.zoneBytes.value();
         message.dueMs = toMilliseconds(piece.due - now);
         message.limitMs = toMilliseconds(piece.limit - now);
         limit = std::max(limit, piece.limit);
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -65,6 +65,14 @@
     void serve(const ReleaseMessage &message);
     /** The desired state, the endpoints or the members have changed. */
     void refresh();
+    /** What this VM tells of the services whose calls it fills. */
+    std::vector<LoadMessage> loads();
+    /** What another VM tells. */
+    void heard(const std::vector<LoadMessage> &loads);
+    const stages::PathAdmission &admission() const noexcept
+    {
+        return admission_;
+    }
     /** Pieces that wait or are being made here. */
     std::size_t pending() const;
 
@@ -87,7 +95,7 @@
     net::HttpClient client_;
     std::map<std::pair<routing::ServiceId, std::string>, std::unique_ptr<Batcher>> batchers_;
     std::unordered_map<Submission, std::shared_ptr<Open>> open_;
-    std::unordered_map<EndpointId, Time> unreachable_; ///< left out until
+    stages::PathAdmission admission_;
     std::uint64_t lastSubmission_ = 0;
     std::uint64_t lastTicket_ = 0;
     telemetry::Counter calls_;
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -41,8 +41,11 @@
 /** A result that another zone holds makes a send there longer by this, in ms for each MB: it stands for the cost of
  * bytes between zones. */
 constexpr double otherZoneMsPerMegabyte = 40;
-/** Preference for the engine to which all VMs send a session, as a share of the time to read its part again. */
-constexpr double sessionShare = 0.5;
+/** Preference for the engine to which all VMs send a session, in ms for each of its tokens: above the time to read
+ * them, as engines are then free for other prompts. */
+constexpr double sessionMsPerToken = 0.03;
+/** A session with fewer tokens doesn't decide where the request's results are made. */
+constexpr std::uint32_t leastSessionTokens = 1'000;
 /** Output tokens weigh this much against prompt tokens in the size of a request. */
 constexpr double outputTokenWeight = 10;
 /** Weight of the newest request in a route's learned mean size. */
@@ -112,6 +115,7 @@
     if (hasStages && !route_->stages.empty()) {
         beginStages();
     } else {
+        chooseSessionEngine();
         dispatch();
     }
 }
@@ -155,14 +159,53 @@
     return route_->services.back().service;
 }
 
-/** Credit of the request against others of its route and of more urgent routes. */
-double RequestRun::worth()
+/** Refuses a request whose stages can't be done in time. */
+bool RequestRun::admitStages()
+{
+    std::uint32_t pieces = 0;
+    for (std::uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
+        pieces += plan_->pieceCount(stage);
+    }
+    double &mean = shared_.meanPieces[route_->id];
+    mean = mean == 0 ? pieces : mean + meanGain * (pieces - mean);
+    stages::PathRequest path;
+    path.elapsed = now() - request_.receivedAt;
+    path.target = route_->target;
+    path.afterStages = engineReserve;
+    path.rank = holder_ != nullptr && holder_->rank ? *holder_->rank : route_->rank;
+    path.relativeWorth = size_ * mean / std::max<double>(pieces, 1);
+    const auto decision = shared_.pieces.admission().decide(*plan_, path, now());
+    if (!decision.admitted) {
+        refuse(net::status::unavailable, "stages too busy", decision.comeBackAfter);
+    }
+    return decision.admitted;
+}
+
+/** The engine to which all VMs send the request's session, by rendezvous hashing. */
+void RequestRun::chooseSessionEngine()
+{
+    if (facts_.promptParts.size() < 2) {
+        return;
+    }
+    const std::uint64_t session = facts_.promptParts[facts_.promptParts.size() - 2].id;
+    std::uint64_t best = 0;
+    for (const auto *entry : shared_.state.endpoints().serving(service_)) {
+        const std::uint64_t rank = hashBytes(entry->id.text(), session);
+        if (rank >= best && !shared_.chooser.isLeftOut(entry->id, now())) {
+            best = rank;
+            sessionEngine_ = entry->id;
+        }
+    }
+}
+
+/** Learns the size of the route's requests, and sets what this one is worth against them. */
+void RequestRun::judgeWorth()
 {
     const double tokens = double(facts_.promptTokens) + outputTokenWeight * double(facts_.maxOutputTokens);
     double &mean = shared_.meanTokens[route_->id];
     mean = mean == 0 ? tokens : mean + meanGain * (tokens - mean);
-    const double size = mean > 0 ? std::min(tokens / mean, 4.0) : 1;
-    return (0.3 + 0.7 * size) / (1.0 + route_->rank);
+    size_ = mean > 0 ? 0.3 + 0.7 * std::min(tokens / mean, 4.0) : 1;
+    worth_ = size_ / (1.0 + route_->rank);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -171,7 +214,12 @@
 void RequestRun::beginStages()
 {
     phase_ = Phase::Stages;
+    chooseSessionEngine();
     plan_.emplace(route_->stages, facts_.pieceCounts);
+    judgeWorth();
+    if (!admitStages()) {
+        return;
+    }
     for (std::uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
         if (plan_->pieceCount(stage) > 0) {
             shared_.budget(route_->stages[stage].service).requestSeen(now());
@@ -212,8 +260,13 @@
     order.inputs = piece.inputs;
     order.due = request_.receivedAt + route_->target - engineReserve - stageReserve * following;
     order.limit = std::min(deadline_, request_.receivedAt + latest) - engineLeast - stageLeast * following;
-    order.worth = const_cast<RequestRun *>(this)->worth();
+    order.worth = worth_;
     order.resultBytes = stage.resultBytes;
+    std::uint64_t inputBytes = 0;
+    for (const auto before : stage.after) {
+        inputBytes += std::uint64_t(plan_->pieceCount(before)) * route_->stages[before].resultBytes.value();
+    }
+    order.zoneBytes = Bytes(stage.after.empty() ? stage.resultBytes.value() : inputBytes);
     return order;
 }
 
@@ -297,6 +350,20 @@
     }
 }
 
+/** Tokens of the part of the prompt that the requests of a session share; the last part is the request's own. */
+std::uint32_t RequestRun::sessionTokens() const
+{
+    return facts_.promptParts.size() > 1 ? facts_.promptParts[facts_.promptParts.size() - 2].tokens : 0;
+}
+
+/** The zone of the engine to which the request's session belongs; this VM's own if its results needn't be there. */
+AvailabilityZoneId RequestRun::sessionZone() const
+{
+    const auto *engine =
+        sessionTokens() >= leastSessionTokens ? shared_.state.endpoints().find(sessionEngine_) : nullptr;
+    return engine != nullptr && shared_.links.isZoneHeard(engine->zone) ? engine->zone : shared_.context.settings.zone;
+}
+
 /** The zone that holds most bytes of the results at hand. */
 AvailabilityZoneId RequestRun::resultZone() const
 {
@@ -308,7 +375,7 @@
     }
     const auto most =
         std::max_element(bytes.begin(), bytes.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    return most == bytes.end() ? shared_.context.settings.zone : most->first;
+    return most == bytes.end() ? sessionZone() : most->first;
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -361,12 +428,9 @@
     if (facts_.promptTokens > 0) {
         const auto kept = shared_.prefixes.keptTokens(entry.id, facts_.promptParts, now());
         ms += double(facts_.promptTokens - std::min(kept, facts_.promptTokens)) / promptTokensPerMs;
-        if (facts_.promptParts.size() > 1) {
-            // All VMs rank the engines alike for a session, so its part is read on few of them.
-            const auto &session = facts_.promptParts[facts_.promptParts.size() - 2];
-            const auto rank = hashBytes(entry.id.text(), session.id);
-            const double share = double(rank) / double(std::numeric_limits<std::uint64_t>::max());
-            ms += share * sessionShare * double(session.tokens) / promptTokensPerMs;
+        // All VMs send a session to the same engine if they can, so that its part is read there alone.
+        if (entry.id != sessionEngine_) {
+            ms += sessionMsPerToken * double(sessionTokens());
         }
     }
     for (const auto &[handle, result] : results_) {
--- a/tools/gateway/src/request_run.h
+++ b/tools/gateway/src/request_run.h
@@ -35,6 +35,7 @@
     Random &random;
     std::unordered_map<routing::ServiceId, dispatch::RetryBudget> budgets;
     std::unordered_map<routing::RouteId, double> meanTokens; ///< learned size of a route's requests
+    std::unordered_map<routing::RouteId, double> meanPieces; ///< learned number of their pieces
     std::unordered_map<EndpointId, std::set<RequestRun *>> runningAt; ///< requests that endpoints work on
     std::set<std::shared_ptr<RequestRun>> open;
 
@@ -58,7 +59,9 @@
     bool findRoute();
     bool checkKey();
     routing::ServiceId chooseService();
-    double worth();
+    void chooseSessionEngine();
+    void judgeWorth();
+    bool admitStages();
 
     // Stages
     void beginStages();
@@ -70,6 +73,8 @@
     void releaseAll();
     void releaseHandles(const std::vector<stages::ResultHandle> &handles);
     AvailabilityZoneId resultZone() const;
+    AvailabilityZoneId sessionZone() const;
+    std::uint32_t sessionTokens() const;
 
     // Sends
     void dispatch();
@@ -109,8 +114,11 @@
     const routing::Route *route_ = nullptr;
     const routing::KeyHolder *holder_ = nullptr;
     routing::ServiceId service_;
+    EndpointId sessionEngine_; ///< empty: the request belongs to no session
     Fingerprint fingerprint_;
     Time deadline_;
+    double worth_ = 1; ///< of the request, against the others of its route and of more urgent routes
+    double size_ = 1; ///< credit against the mean of its route
     TimerHandle deadlineTimer_;
     Phase phase_ = Phase::New;
 
