gateway: three VMs read the store for all; refused callers that come back go before new ones

Change: three VMs by rendezvous read and push records to all; a VM that hears none of them reads for itself. Requests are refused from 0.92, 0.85 and 0.76 of the target by rank. VMs tell each other what they refused, and a caller that comes back has a higher share.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -198,4 +198,29 @@
     std::unordered_map<Fingerprint, Suspect> suspects_;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Callers that come back
+
+/**
+ * Remembers which requests were refused lately, by their fingerprint.
+ *
+ * Load pattern: a burst whose refused requests come back, to any VM, while it still lasts. One that is refused again
+ * has waited for nothing, so it goes before new ones. The VMs tell each other what they refused.
+ */
+class RefusedCallers
+{
+public:
+    void refused(Fingerprint request, Time now);
+    /** Takes what another VM has refused. */
+    void merge(std::span<const Fingerprint> requests, Time now);
+    bool isReturning(Fingerprint request, Time now) const;
+    /** Refusals that the other VMs were not told of yet; a bounded number. */
+    std::vector<Fingerprint> takeUntold();
+    void expire(Time now);
+
+private:
+    std::unordered_map<Fingerprint, Time> refusedAt_;
+    std::vector<Fingerprint> untold_;
+};
+
 } // namespace lacewing::dispatch
--- a/libs/dispatch/tests/dispatch_test.cpp
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -180,6 +180,31 @@
     cr_assert_eq(memory.keptTokens(engine, same, start), 0U);
 }
 
+Test(refusedCallers, knowsWhoComesBackToAnyVm)
+{
+    RefusedCallers here;
+    RefusedCallers there;
+    here.refused(Fingerprint(7), start);
+    const auto told = here.takeUntold();
+    cr_assert_eq(told.size(), 1U);
+    cr_assert(here.takeUntold().empty());
+    there.merge(told, start);
+    cr_assert(here.isReturning(Fingerprint(7), start + 1s));
+    cr_assert(there.isReturning(Fingerprint(7), start + 1s));
+    cr_assert_not(there.isReturning(Fingerprint(8), start + 1s));
+    cr_assert_not(there.isReturning(Fingerprint(7), start + 10s));
+}
+
+Test(refusedCallers, tellsABoundedNumber)
+{
+    RefusedCallers callers;
+    for (std::uint64_t request = 0; request < 1'000; ++request) {
+        callers.refused(Fingerprint(request), start);
+    }
+    cr_assert_eq(callers.takeUntold().size(), 64U);
+    cr_assert(callers.isReturning(Fingerprint(999), start));
+}
+
 Test(suspectList, barredAfterTheSecondCrash)
 {
     SuspectList suspects;
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -242,6 +242,7 @@
     Duration afterStages {}; ///< that its last step will take
     int rank = 0; ///< 0 is the most urgent
     double relativeWorth = 1; ///< credit for each piece, against the mean of its route
+    bool isReturning = false; ///< it was refused before
 };
 
 /** Whether a request may begin. */
--- a/libs/stages/src/path_admission.cpp
+++ b/libs/stages/src/path_admission.cpp
@@ -11,10 +11,13 @@
 /** A report counts for this time: some beacons of the VM that told it. */
 constexpr Duration reportLife = 1200ms;
 /** Predicted share of the target from which requests of a rank are refused; later ranks are refused like the last. */
-constexpr double refusedFrom[] = { 1.15, 1.0, 0.85 };
+constexpr double refusedFrom[] = { 0.92, 0.85, 0.76 };
 /** By how much a request's worth moves that share, for each doubling of its worth. */
 constexpr double shareForDoubledWorth = 0.08;
 constexpr double mostShareForWorth = 0.16;
+/** By how much that share is higher for a request that was refused before: enough to go before new ones once the queues
+ * have settled at the share, too little to make the others late. */
+constexpr double shareForReturning = 0.03;
 /** Least time after which a refused caller may come back. */
 constexpr Duration leastComeBack = 250ms;
 
@@ -51,7 +54,8 @@
     const auto rank = std::min<std::size_t>(std::size_t(std::max(request.rank, 0)), std::size(refusedFrom) - 1);
     const double doublings = std::log2(std::max(request.relativeWorth, 1e-3));
     const double moved = std::clamp(doublings * shareForDoubledWorth, -mostShareForWorth, mostShareForWorth);
-    const double limit = toSeconds(request.target) * (refusedFrom[rank] + moved);
+    const double limit =
+        toSeconds(request.target) * (refusedFrom[rank] + moved + (request.isReturning ? shareForReturning : 0));
     const Duration total = request.elapsed + predicted + request.afterStages;
     PathDecision decision { toSeconds(total) <= limit, predicted, {} };
     if (!decision.admitted) {
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -92,9 +92,14 @@
     checkMembers();
 }
 
-void FleetLinks::setView(std::uint64_t stateVersion, std::uint64_t endpointsEnd)
+void FleetLinks::setView(std::uint64_t stateVersion,
+                         std::uint64_t operatorEnd,
+                         std::uint64_t endpointsEnd,
+                         bool followsStore)
 {
     own_.stateVersion = stateVersion;
+    own_.operatorEnd = operatorEnd;
+    own_.followsStore = followsStore;
     own_.endpointsEnd = endpointsEnd;
 }
 
@@ -149,6 +154,12 @@
     return found == vms_.end() ? nullptr : &found->second;
 }
 
+bool FleetLinks::isHeard(const VmId &vm) const
+{
+    const auto *known = find(vm);
+    return known != nullptr && isLive(*known);
+}
+
 void FleetLinks::send(const VmId &vm, std::string message)
 {
     if (const auto *known = find(vm)) {
@@ -187,7 +198,7 @@
 
 void FleetLinks::sendBeacons(Time now)
 {
-    own_.loads = handlers_.loads();
+    handlers_.fill(own_);
     const std::string message = envelope(MessageKind::Beacon, own_);
     for (auto &[id, vm] : vms_) {
         const Duration period = isLive(vm) ? Duration::zero() : silentBeaconPeriod;
@@ -220,6 +231,10 @@
     case MessageKind::Suspect:
         deliver(handlers_.onSuspect);
         break;
+    case MessageKind::RecordsPush:
+        deliver(std::function<void(const RecordsPush &)>(
+            [&](const RecordsPush &push) { handlers_.onRecordsPushed(from.vm, push); }));
+        break;
     case MessageKind::Pieces:
     case MessageKind::Records:
         break;
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -26,10 +26,11 @@
 struct FleetHandlers {
     std::function<void(const ReleaseMessage &)> onRelease;
     std::function<void(const SuspectMessage &)> onSuspect;
+    std::function<void(const VmId &from, const RecordsPush &)> onRecordsPushed;
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
     std::function<void(const RecordsRequest &, peer::PeerCallWriter)> onRecords;
     std::function<void(const VmId &, const Beacon &)> onBeacon;
-    std::function<std::vector<LoadMessage>()> loads; ///< for the next beacon
+    std::function<void(Beacon &)> fill; ///< adds what the next beacon tells
     std::function<void()> onMembersChanged; ///< a VM came, left or fell silent
 };
 
@@ -53,7 +54,7 @@
     /** A VM took its address out of the store. */
     void forget(const VmId &vm);
     /** What this VM's beacons say of its view. */
-    void setView(std::uint64_t stateVersion, std::uint64_t endpointsEnd);
+    void setView(std::uint64_t stateVersion, std::uint64_t operatorEnd, std::uint64_t endpointsEnd, bool followsStore);
     /** Tells the others that this VM takes no more work from them. */
     void leave();
 
@@ -64,6 +65,8 @@
     /** False when VMs of the zone are known and none of them is heard. */
     bool isZoneHeard(const AvailabilityZoneId &zone) const;
     const KnownVm *find(const VmId &vm) const;
+    /** Whether a VM was heard lately. */
+    bool isHeard(const VmId &vm) const;
 
     void send(const VmId &vm, std::string message);
     void sendToAll(const std::string &message);
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -15,7 +15,13 @@
 /** For endpoints: they write often, so several records are taken at a time. */
 constexpr userplatform::WatchTimes endpointTimes { 1500ms, 350ms, 150ms };
 /** For the VMs' own addresses, which beacons tell too. */
-constexpr userplatform::WatchTimes vmTimes { 10s, 1s, 500ms };
+constexpr userplatform::WatchTimes vmTimes { 20s, 5s, 500ms };
+/** The VMs' addresses are read after this time, when those that start together have written theirs. */
+constexpr Duration vmsReadDelay = 500ms;
+/** VMs that follow the store for all: the loss of some leaves others, and the store's price is small. */
+constexpr std::size_t readerCount = 3;
+/** Who reads is looked at this often: about as often as beacons come. */
+constexpr Duration readerPeriod = 200ms;
 /** Another VM is asked this often at most for what the store doesn't tell. */
 constexpr Duration askPeriod = 300ms;
 /** Entries that lapsed during an outage are looked at this often. */
@@ -50,9 +56,10 @@
 {
     watch(Topic::Operator, operatorTimes);
     watch(Topic::Endpoints, endpointTimes);
-    watch(Topic::Vms, vmTimes);
     const auto &settings = context_.settings;
     store_.put(settings.vm.text(), settings.zone.text() + " " + links_.address());
+    context_.loop.timers().once(context_.now() + vmsReadDelay, [this](Time) { watch(Topic::Vms, vmTimes); });
+    context_.loop.timers().every(context_.now() + vmsReadDelay, readerPeriod, [this](Time) { chooseReaders(); });
     context_.loop.timers().every(context_.now() + expiryPeriod, expiryPeriod, [this](Time now) { expire(now); });
 }
 
@@ -68,10 +75,15 @@
         take(topic, std::move(all), end.value(), true);
     };
     handlers.onRecords = [this, topic](std::vector<StoreRecord> records, LogOffset end) {
+        const std::uint64_t before = mirrors_[topic].end;
+        if (end.value() > before) {
+            push(topic, before, records);
+        }
         take(topic, std::move(records), end.value(), false);
     };
     handlers.onLost = [this, topic](const std::string &why) {
         mirrors_[topic].lost = true;
+        updateView();
         if (topic == Topic::Endpoints) {
             endpoints_.registryLost(context_.now());
         }
@@ -79,6 +91,7 @@
     };
     handlers.onBack = [this, topic] {
         mirrors_[topic].lost = false;
+        updateView();
         if (topic == Topic::Endpoints) {
             endpoints_.registryBack(context_.now());
         }
@@ -207,18 +220,107 @@
 
 void FleetState::changed()
 {
-    links_.setView(routes_ ? routes_->state().version.value() : 0, mirrors_[Topic::Endpoints].end);
+    updateView();
     onChanged_();
 }
 
+void FleetState::updateView()
+{
+    const bool answered = !mirrors_[Topic::Operator].lost && !mirrors_[Topic::Endpoints].lost;
+    links_.setView(routes_ ? routes_->state().version.value() : 0,
+                   mirrors_[Topic::Operator].end,
+                   mirrors_[Topic::Endpoints].end,
+                   follows_ && answered && isKnown());
+}
+
+/** One of the VMs that read the store for all. */
+bool FleetState::isReader() const
+{
+    const auto members = links_.members(std::nullopt);
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (const auto &vm : members) {
+        names.push_back(vm.text());
+    }
+    const auto chosen = rendezvous("store", names, readerCount);
+    return std::any_of(
+        chosen.begin(), chosen.end(), [&](std::size_t index) { return names[index] == context_.settings.vm.text(); });
+}
+
+/** Another VM that reads the store tells what it reads, and this one has all of it. */
+bool FleetState::isServedByReaders() const
+{
+    const auto members = links_.members(std::nullopt);
+    return std::any_of(members.begin(), members.end(), [&](const VmId &id) {
+        const auto *vm = links_.find(id);
+        return vm != nullptr && vm->beacon.followsStore;
+    });
+}
+
+void FleetState::chooseReaders()
+{
+    const bool follows = !isKnown() || isReader() || !isServedByReaders();
+    if (follows != follows_) {
+        follows_ = follows;
+        context_.logger.state("store reading", { { "active", follows } });
+        updateView();
+    }
+    for (const Topic topic : { Topic::Operator, Topic::Endpoints }) {
+        store_.setActive(topic, follows, LogOffset(mirrors_[topic].end));
+    }
+}
+
+void FleetState::push(Topic topic, std::uint64_t after, const std::vector<StoreRecord> &records)
+{
+    if (topic == Topic::Vms || !follows_ || !isReader()) {
+        return;
+    }
+    RecordsPush push { static_cast<std::uint32_t>(topic), after, {} };
+    for (const auto &record : records) {
+        push.records.records.push_back({ record.key, record.offset.value(), !record.value, record.value.value_or("") });
+        push.records.end = std::max(push.records.end, record.offset.value() + 1);
+    }
+    links_.sendToAll(envelope(MessageKind::RecordsPush, push));
+}
+
+void FleetState::pushed(const VmId &vm, const RecordsPush &push)
+{
+    const auto topic = Topic(push.topic);
+    if (topic != Topic::Operator && topic != Topic::Endpoints) {
+        return;
+    }
+    const Mirror &mirror = mirrors_[topic];
+    if (push.records.end <= mirror.end) {
+        return;
+    }
+    if (push.after > mirror.end) {
+        askPeer(topic, vm); // some records between were not heard
+        return;
+    }
+    takeFromPeer(topic, push.records);
+}
+
+void FleetState::takeFromPeer(Topic topic, const RecordsAnswer &answer)
+{
+    std::vector<StoreRecord> records;
+    for (const auto &record : answer.records) {
+        auto value = record.isRemoval ? std::nullopt : std::optional(record.value);
+        records.push_back({ record.key, LogOffset(record.offset), std::move(value) });
+    }
+    std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
+    take(topic, std::move(records), answer.end, false);
+}
+
 void FleetState::heard(const VmId &vm, const Beacon &beacon)
 {
     const std::uint64_t version = routes_ ? routes_->state().version.value() : 0;
-    if (beacon.stateVersion > version && (mirrors_[Topic::Operator].lost || !routes_)) {
+    const Mirror &operators = mirrors_[Topic::Operator];
+    if ((beacon.stateVersion > version || beacon.operatorEnd > operators.end)
+        && (operators.lost || !routes_ || !follows_)) {
         askPeer(Topic::Operator, vm);
     }
     const Mirror &endpoints = mirrors_[Topic::Endpoints];
-    if (beacon.endpointsEnd > endpoints.end && (endpoints.lost || !endpointsKnown_)) {
+    if (beacon.endpointsEnd > endpoints.end && (endpoints.lost || !endpointsKnown_ || !follows_)) {
         askPeer(Topic::Endpoints, vm);
     }
 }
@@ -239,18 +341,13 @@
             context_.logger.warn("records not understood", { { "vm", vm }, { "why", answer.error().detail } });
             return;
         }
-        std::vector<StoreRecord> records;
-        for (const auto &record : answer.value().records) {
-            auto value = record.isRemoval ? std::nullopt : std::optional(record.value);
-            records.push_back({ record.key, LogOffset(record.offset), std::move(value) });
-        }
-        std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
-        context_.logger.state("records from another vm",
-                              { { "topic", nameOf(topic) }, { "vm", vm }, { "records", records.size() } });
+        context_.logger.state(
+            "records from another vm",
+            { { "topic", nameOf(topic) }, { "vm", vm }, { "records", answer.value().records.size() } });
         if (topic == Topic::Endpoints) {
             endpointsKnown_ = true;
         }
-        take(topic, std::move(records), answer.value().end, false);
+        takeFromPeer(topic, answer.value());
     };
     links_.call(vm, envelope(MessageKind::Records, request), recordLimits, std::move(handlers));
 }
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -15,8 +15,9 @@
 /**
  * What this VM knows of the desired state and the endpoints.
  *
- * It follows the store. While the store doesn't answer it, it takes what other VMs have read. A desired state never
- * gives way to an older one.
+ * A few VMs follow the store and push what they read to all others. A VM that hears none of them, or hears that the
+ * store doesn't answer them, follows the store itself; while the store doesn't answer it either, it asks any VM that
+ * knows more. A desired state never gives way to an older one.
  */
 class FleetState
 {
@@ -47,6 +48,8 @@
     void heard(const VmId &vm, const Beacon &beacon);
     /** Another VM asks for records. */
     void answer(const RecordsRequest &request, peer::PeerCallWriter writer) const;
+    /** Another VM has read records. */
+    void pushed(const VmId &vm, const RecordsPush &push);
 
 private:
     /** What was read of one topic. */
@@ -63,8 +66,14 @@
     void takeDesiredState(const userplatform::StoreRecord &record);
     void takeEndpoint(const userplatform::StoreRecord &record);
     void takeVm(const userplatform::StoreRecord &record);
+    void push(userplatform::Topic topic, std::uint64_t after, const std::vector<userplatform::StoreRecord> &records);
+    void chooseReaders();
+    bool isReader() const;
+    bool isServedByReaders() const;
     void expire(Time now);
     void changed();
+    void updateView();
+    void takeFromPeer(userplatform::Topic topic, const RecordsAnswer &answer);
     void askPeer(userplatform::Topic topic, const VmId &vm);
 
     Context &context_;
@@ -75,6 +84,7 @@
     std::shared_ptr<const routing::RouteTable> routes_;
     routing::EndpointDirectory endpoints_;
     bool endpointsKnown_ = false;
+    bool follows_ = true; ///< this VM reads the store itself
     std::uint64_t lastRevision_ = 0;
 };
 
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -57,8 +57,7 @@
     , chooser_(random_.next())
     , prefixes_(prefixLife)
     , decisions_(context.logger)
-    , shared_ { context,   links_,     state_,  pieces_, client_, chooser_, prefixes_,
-                suspects_, decisions_, random_, {},      {},      {},       {} }
+    , shared_ { context, links_, state_, pieces_, client_, chooser_, prefixes_, suspects_, decisions_, random_ }
     , callers_(context.loop,
                callerOptions(context),
                [this](net::HttpRequest request, net::ResponseWriter writer) {
@@ -97,6 +96,7 @@
         chooser_.forgetAbsent(state_.endpoints());
         prefixes_.expire(now);
         suspects_.expire(now);
+        shared_.refused.expire(now);
     });
     context_.loop.run();
     return 0;
@@ -176,14 +176,23 @@
     handlers.onPieces = [this](PiecesRequest request, peer::PeerCallWriter writer) {
         pieces_.serve(std::move(request), std::move(writer));
     };
+    handlers.onRecordsPushed = [this](const VmId &from, const RecordsPush &push) { state_.pushed(from, push); };
     handlers.onRecords = [this](const RecordsRequest &request, peer::PeerCallWriter writer) {
         state_.answer(request, std::move(writer));
     };
     handlers.onBeacon = [this](const VmId &vm, const Beacon &beacon) {
         state_.heard(vm, beacon);
         pieces_.heard(beacon.loads);
+        std::vector<Fingerprint> refused(beacon.refused.begin(), beacon.refused.end());
+        shared_.refused.merge(refused, context_.now());
+    };
+    handlers.fill = [this](Beacon &beacon) {
+        beacon.loads = pieces_.loads();
+        beacon.refused.clear();
+        for (const auto request : shared_.refused.takeUntold()) {
+            beacon.refused.push_back(request.value());
+        }
     };
-    handlers.loads = [this] { return pieces_.loads(); };
     handlers.onMembersChanged = [this] { pieces_.refresh(); };
     return handlers;
 }
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -27,10 +27,14 @@
     std::uint64_t incarnation = 0;
     bool leaving = false;
     std::uint64_t stateVersion = 0; ///< desired state in force there
+    std::uint64_t operatorEnd = 0; ///< offset up to which it knows the operator's records
     std::uint64_t endpointsEnd = 0; ///< offset up to which it knows endpoints' registrations
     std::vector<LoadMessage> loads; ///< of the services whose calls it fills
+    std::vector<std::uint64_t> refused; ///< fingerprints of requests that it refused since its last beacon
+    bool followsStore = false; ///< it reads the store, and the store answers it
 
-    LACEWING_MEMBERS(vm, zone, address, incarnation, leaving, stateVersion, endpointsEnd, loads)
+    LACEWING_MEMBERS(
+        vm, zone, address, incarnation, leaving, stateVersion, operatorEnd, endpointsEnd, loads, refused, followsStore)
 };
 
 /** One piece in a call to the VM that fills the calls of its service. */
@@ -114,8 +118,24 @@
     LACEWING_MEMBERS(end, records)
 };
 
+/** Records that a VM has just read, sent to the VMs that don't read the store themselves. */
+struct RecordsPush {
+    std::uint32_t topic = 0; ///< a userplatform::Topic
+    std::uint64_t after = 0; ///< the sender's end before these records
+    RecordsAnswer records;
+
+    LACEWING_MEMBERS(topic, after, records)
+};
+
 /** What goes over a link: which of the messages above, and its encoded bytes. */
-enum class MessageKind : std::uint8_t { Beacon = 1, Release = 2, Suspect = 3, Pieces = 4, Records = 5 };
+enum class MessageKind : std::uint8_t {
+    Beacon = 1,
+    Release = 2,
+    Suspect = 3,
+    Pieces = 4,
+    Records = 5,
+    RecordsPush = 6
+};
 
 template <typename Message>
 std::string envelope(MessageKind kind, const Message &message)
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -174,6 +174,7 @@
     path.afterStages = engineReserve;
     path.rank = holder_ != nullptr && holder_->rank ? *holder_->rank : route_->rank;
     path.relativeWorth = size_ * mean / std::max<double>(pieces, 1);
+    path.isReturning = shared_.refused.isReturning(fingerprint_, now());
     const auto decision = shared_.pieces.admission().decide(*plan_, path, now());
     if (!decision.admitted) {
         refuse(net::status::unavailable, "stages too busy", decision.comeBackAfter);
@@ -725,6 +726,7 @@
 {
     net::Headers headers;
     if (comeBack) {
+        shared_.refused.refused(fingerprint_, now());
         headers = userplatform::retryAfter(shared_.random.jitter(*comeBack, comeBackSpread));
     }
     writer_.respond(status, headers, {});
--- a/tools/gateway/src/request_run.h
+++ b/tools/gateway/src/request_run.h
@@ -33,6 +33,7 @@
     dispatch::SuspectList &suspects;
     DecisionLog &decisions;
     Random &random;
+    dispatch::RefusedCallers refused;
     std::unordered_map<routing::ServiceId, dispatch::RetryBudget> budgets;
     std::unordered_map<routing::RouteId, double> meanTokens; ///< learned size of a route's requests
     std::unordered_map<routing::RouteId, double> meanPieces; ///< learned number of their pieces
