--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -174,6 +174,8 @@
 
     /** A piece got a result at an endpoint, which now holds it. */
     void resultMade(const EndpointId &endpoint, const ResultHandle &handle, Bytes size, Time now);
+    /** An endpoint had no memory for a result, such as for results of a VM that is gone: it gets less for a while. */
+    void roomMissing(const EndpointId &endpoint, Bytes size, Time now);
     /** A result was given up. @return its endpoint, empty if unknown */
     EndpointId resultReleased(const ResultHandle &handle);
 
@@ -230,6 +232,7 @@
     std::unordered_map<AvailabilityZoneId, std::size_t> waitingByZone_; ///< pieces that are best made there
     std::unordered_map<EndpointId, Line> lines_;
     std::unordered_map<ResultHandle, Held> held_;
+    std::uint64_t lastMissing_ = 0;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t zoneBytesToWait = 100'000;
 /** Time that must be left over when a piece waits for its own zone. */
 constexpr Duration zoneWaitMargin = 30ms;
+/** For which memory that was missing counts as taken: part of the time after which results end by themselves. */
+constexpr Duration roomMissingTime = 500ms;
 /** A free endpoint is offered again what waited for another zone or for room after this time. */
 constexpr Duration recheckPeriod = 40ms;
 /** Waiting pieces are looked at this often for those that can't be made in time. */
@@ -152,6 +154,17 @@
     held_[handle] = { endpoint, size.value(), now + traits_.resultLife };
 }
 
+void BatchScheduler::roomMissing(const EndpointId &endpoint, Bytes size, Time now)
+{
+    const auto found = lines_.find(endpoint);
+    if (found == lines_.end()) {
+        return;
+    }
+    found->second.roomUsed += size.value();
+    const ResultHandle unknown("missing-" + std::to_string(++lastMissing_));
+    held_[unknown] = { endpoint, size.value(), now + roomMissingTime };
+}
+
 EndpointId BatchScheduler::resultReleased(const ResultHandle &handle)
 {
     const auto found = held_.find(handle);
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -145,6 +145,28 @@
     cr_assert_eq(f.scheduler.takeCalls(f.now + 4s).size(), 1U, "results end by themselves");
 }
 
+/** Results of a VM that is gone take up memory that this scheduler knows nothing of. */
+Test(batchScheduler, missingRoomCountsAsTakenForAWhile)
+{
+    Fixture f(1);
+    for (int piece = 0; piece < 4; ++piece) {
+        f.add(1s, 5s, 1, 300);
+    }
+    auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.at(0).pieces.size(), 3U);
+    f.scheduler.callEnded(EndpointId("e0"), CallOutcome::Answered, 0, f.now);
+    for (int piece = 0; piece < 2; ++piece) {
+        f.scheduler.roomMissing(EndpointId("e0"), Bytes(300), f.now);
+    }
+    for (int piece = 0; piece < 3; ++piece) {
+        f.add(1s, 5s, 1, 300);
+    }
+    calls = f.scheduler.takeCalls(f.now + 10ms);
+    cr_assert_eq(calls.at(0).pieces.size(), 1U);
+    f.scheduler.callEnded(EndpointId("e0"), CallOutcome::Answered, 0, f.now + 600ms);
+    cr_assert_eq(f.scheduler.takeCalls(f.now + 600ms).at(0).pieces.size(), 3U);
+}
+
 Test(batchScheduler, prefersTheWantedZone)
 {
     Fixture f(4);
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -194,6 +194,9 @@
         for (std::size_t index = 0; index < call.pieces.size(); ++index) {
             const auto &piece = call.pieces[index];
             const auto &answer = answers.value()[index];
+            if (!answer.handle && answer.failure == PieceFailure::NoRoom) {
+                scheduler_.roomMissing(call.endpoint, piece.resultBytes, now);
+            }
             if (!answer.handle) {
                 tell(piece.ticket, { std::nullopt, answer.failure });
                 continue;
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -63,6 +63,20 @@
     return budget;
 }
 
+void RunShared::count(const std::string &route, int status, Duration time)
+{
+    constexpr int hundreds = 100;
+    const std::string statusClass = status == 0 ? "none" : std::to_string(status / hundreds) + "xx";
+    context.metrics
+        .counter({ "requests", "Requests that have ended" }, { { "route", route }, { "status", statusClass } })
+        .add();
+    context.metrics
+        .histogram({ "request_time", "From the arrival of a request to its final answer", telemetry::Unit::Seconds },
+                   { { "status", statusClass } },
+                   telemetry::latencyBuckets())
+        .observe(time);
+}
+
 RequestRun::RequestRun(RunShared &shared, net::HttpRequest request, net::ResponseWriter writer)
     : shared_(shared)
     , request_(std::move(request))
@@ -766,6 +780,7 @@
                                     : tried_.empty() ? std::string()
                                                      : tried_.back().text() } },
                             end);
+    shared_.count(route_ != nullptr ? route_->id.text() : std::string(), status, end - request_.receivedAt);
     phase_ = Phase::Done;
     shared_.context.loop.timers().cancel(deadlineTimer_);
     for (const auto submission : submissions_) {
--- a/tools/gateway/src/request_run.h
+++ b/tools/gateway/src/request_run.h
@@ -40,6 +40,9 @@
     std::unordered_map<EndpointId, std::set<RequestRun *>> runningAt; ///< requests that endpoints work on
     std::set<std::shared_ptr<RequestRun>> open;
 
+    /** Counts a final answer. @param status 0: none was given */
+    void count(const std::string &route, int status, Duration time);
+
     dispatch::RetryBudget &budget(const routing::ServiceId &service);
 };
 
