dispatch: a crash of an endpoint is told from a lost connection, and its requests are suspect at all VMs

Cause: the list of suspects was built but nothing filled it. A request that three endpoints ran as they went down is sent to none any more. The log line of a refusal names what it was decided by.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -169,6 +169,28 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Requests that crash endpoints
 
+/**
+ * Tells a crash of an endpoint from a lost connection: soon after the loss, no new connection can be made.
+ *
+ * Requests that the endpoint was running as their connections broke are remembered until then.
+ */
+class CrashWatch
+{
+public:
+    /** A connection broke while the endpoint ran a request. */
+    void connectionLost(const EndpointId &endpoint, Fingerprint request, Time now);
+    /** No connection could be made. @return requests that ran there as it went down, each told once */
+    std::vector<Fingerprint> unreachable(const EndpointId &endpoint, Time now);
+    void expire(Time now);
+
+private:
+    struct Lost {
+        Fingerprint request;
+        Time at;
+    };
+    std::unordered_map<EndpointId, std::vector<Lost>> lost_;
+};
+
 /**
  * Counts, for each request by its fingerprint, the endpoints that went down while they ran it.
  *
--- a/libs/dispatch/src/suspect_list.cpp
+++ b/libs/dispatch/src/suspect_list.cpp
@@ -7,8 +7,8 @@
 namespace
 {
 
-/** Crashes after which a request is sent to no endpoint any more: the first may be chance. */
-constexpr int maxCrashes = 2;
+/** Crashes after which a request is sent to no endpoint any more: a neighbour of the culprit may be there twice. */
+constexpr int maxCrashes = 3;
 /** A suspect that isn't seen for this time is forgotten. */
 constexpr Duration suspectLife = 120s;
 
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -252,6 +252,7 @@
 struct PathDecision {
     bool admitted = true;
     Duration predicted {}; ///< until the stages would be done
+    Duration reportAge {}; ///< of the oldest report that was used
     Duration comeBackAfter {}; ///< if refused: when there should be room
 };
 
--- a/libs/stages/src/path_admission.cpp
+++ b/libs/stages/src/path_admission.cpp
@@ -41,13 +41,16 @@
 {
     std::vector<Duration> doneAt(plan.stages().size());
     Duration predicted {};
+    Duration reportAge {};
     for (std::uint32_t stage = 0; stage < plan.stages().size(); ++stage) {
         const auto &spec = plan.stages()[stage];
         for (const auto before : spec.after) {
             doneAt[stage] = std::max(doneAt[stage], doneAt[before]);
         }
         if (plan.pieceCount(stage) > 0) {
-            doneAt[stage] += expected(spec.service, now).value_or(Duration::zero());
+            const auto time = expected(spec.service, now);
+            doneAt[stage] += time.value_or(Duration::zero());
+            reportAge = time ? std::max(reportAge, now - reports_.at(spec.service).at) : reportAge;
         }
         predicted = std::max(predicted, doneAt[stage]);
     }
@@ -57,7 +60,7 @@
     const double limit =
         toSeconds(request.target) * (refusedFrom[rank] + moved + (request.isReturning ? shareForReturning : 0));
     const Duration total = request.elapsed + predicted + request.afterStages;
-    PathDecision decision { toSeconds(total) <= limit, predicted, {} };
+    PathDecision decision { toSeconds(total) <= limit, predicted, reportAge, {} };
     if (!decision.admitted) {
         decision.comeBackAfter = std::max(leastComeBack, total - fromSeconds(limit));
     }
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -97,6 +97,7 @@
         prefixes_.expire(now);
         suspects_.expire(now);
         shared_.refused.expire(now);
+        shared_.crashes.expire(now);
     });
     context_.loop.run();
     return 0;
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -77,6 +77,17 @@
         .observe(time);
 }
 
+void RunShared::endpointUnreachable(const EndpointId &endpoint)
+{
+    for (const auto request : crashes.unreachable(endpoint, context.now())) {
+        const int count = suspects.crashed(request, context.now());
+        context.logger.state("suspect request",
+                             { { "fingerprint", request }, { "endpoint", endpoint }, { "crashes", count } });
+        links.sendToAll(
+            envelope(MessageKind::Suspect, SuspectMessage { request.value(), static_cast<std::uint32_t>(count) }));
+    }
+}
+
 RequestRun::RequestRun(RunShared &shared, net::HttpRequest request, net::ResponseWriter writer)
     : shared_(shared)
     , request_(std::move(request))
@@ -191,6 +202,16 @@
     path.isReturning = shared_.refused.isReturning(fingerprint_, now());
     const auto decision = shared_.pieces.admission().decide(*plan_, path, now());
     if (!decision.admitted) {
+        shared_.decisions.write("stages too busy",
+                                { { "request", facts_.id },
+                                  { "predicted_ms", toMilliseconds(decision.predicted) },
+                                  { "target_ms", toMilliseconds(route_->target) },
+                                  { "rank", path.rank },
+                                  { "relative_worth", path.relativeWorth },
+                                  { "returning", path.isReturning },
+                                  { "report_age_ms", toMilliseconds(decision.reportAge) },
+                                  { "come_back_ms", toMilliseconds(decision.comeBackAfter) } },
+                                now());
         refuse(net::status::unavailable, "stages too busy", decision.comeBackAfter);
     }
     return decision.admitted;
@@ -486,7 +507,6 @@
     workMs_ = extraMs(entry);
     shared_.chooser.sendStarted(entry.id, workMs_, now());
     shared_.prefixes.used(entry.id, facts_.promptParts, now());
-    shared_.runningAt[entry.id].insert(this);
     net::HttpHandlers handlers;
     const auto weak = weak_from_this();
     handlers.onHead = [weak](const net::HttpHead &head) {
@@ -660,6 +680,7 @@
 void RequestRun::answerBroken(const net::HttpEnd &end)
 {
     if (!end.requestWritten) {
+        shared_.endpointUnreachable(endpoint_->id);
         closeSend(dispatch::SendOutcome::Unreachable);
         if (sendAgain("unreachable", false)) {
             return;
@@ -673,7 +694,9 @@
     }
     ++sends_;
     mayHaveRun_ = true;
-    const EndpointId endpoint = endpoint_->id;
+    if (end.error->kind == ErrorKind::ConnectionLost) {
+        shared_.crashes.connectionLost(endpoint_->id, fingerprint_, now());
+    }
     closeSend(dispatch::SendOutcome::Failed);
     if (!sendAgain(toText(end.error->kind), true)) {
         fail(net::status::badGateway, toText(end.error->kind));
@@ -690,11 +713,6 @@
         workMs_ = 0;
     }
     shared_.chooser.sendEnded(endpoint_->id, outcome, firstByte_, now());
-    auto &running = shared_.runningAt[endpoint_->id];
-    running.erase(this);
-    if (running.empty()) {
-        shared_.runningAt.erase(endpoint_->id);
-    }
     tried_.push_back(endpoint_->id);
     endpoint_.reset();
 }
@@ -726,13 +744,6 @@
     return true;
 }
 
-void RequestRun::endpointWentDown(const EndpointId &)
-{
-    const int crashes = shared_.suspects.crashed(fingerprint_, now());
-    shared_.links.sendToAll(
-        envelope(MessageKind::Suspect, SuspectMessage { fingerprint_.value(), static_cast<std::uint32_t>(crashes) }));
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // Ends
 
@@ -769,6 +780,7 @@
     shared_.decisions.write("request done",
                             { { "request", facts_.id },
                               { "route", route_ != nullptr ? route_->id.text() : std::string() },
+                              { "state", routes_ ? routes_->state().version : routing::StateVersion() },
                               { "status", status },
                               { "outcome", outcome },
                               { "ms", toMilliseconds(end - request_.receivedAt) },
--- a/tools/gateway/src/request_run.h
+++ b/tools/gateway/src/request_run.h
@@ -37,9 +37,11 @@
     std::unordered_map<routing::ServiceId, dispatch::RetryBudget> budgets;
     std::unordered_map<routing::RouteId, double> meanTokens; ///< learned size of a route's requests
     std::unordered_map<routing::RouteId, double> meanPieces; ///< learned number of their pieces
-    std::unordered_map<EndpointId, std::set<RequestRun *>> runningAt; ///< requests that endpoints work on
+    dispatch::CrashWatch crashes;
     std::set<std::shared_ptr<RequestRun>> open;
 
+    /** No connection to an endpoint could be made: what it ran shortly before is suspect, here and at all VMs. */
+    void endpointUnreachable(const EndpointId &endpoint);
     /** Counts a final answer. @param status 0: none was given */
     void count(const std::string &route, int status, Duration time);
 
@@ -53,8 +55,6 @@
     RequestRun(RunShared &shared, net::HttpRequest request, net::ResponseWriter writer);
 
     void start();
-    /** The endpoint that works on it went down. */
-    void endpointWentDown(const EndpointId &endpoint);
 
 private:
     enum class Phase : std::uint8_t { New, Stages, Waiting, Sent, Forwarding, Done };
