--- a/libs/dispatch/src/crash_watch.cpp
+++ b/libs/dispatch/src/crash_watch.cpp
@@ -36,10 +36,10 @@
 
 void CrashWatch::expire(Time now)
 {
-    std::erase_if(lost_, [&](auto &item) {
-        std::erase_if(item.second, [&](const Lost &lost) { return now - lost.at > crashTime; });
-        return item.second.empty();
-    });
+    for (auto &[endpoint, requests] : lost_) {
+        std::erase_if(requests, [&](const Lost &lost) { return now - lost.at > crashTime; });
+    }
+    std::erase_if(lost_, [](const auto &item) { return item.second.empty(); });
 }
 
 } // namespace lacewing::dispatch
