--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -112,11 +112,7 @@
         endpointsKnown_ = true;
     }
     if (isAll) {
-        // A key that is not there any more was removed at an offset that isn't known: other VMs see it for themselves.
-        std::erase_if(mirror.newest, [&](const auto &item) {
-            return std::none_of(
-                records.begin(), records.end(), [&](const auto &record) { return record.key == item.first; });
-        });
+        markRemoved(mirror, records, end);
     }
     for (auto &record : records) {
         auto &newest = mirror.newest[record.key];
@@ -129,6 +125,19 @@
     changed();
 }
 
+/** Keys that a snapshot lacks were removed before its end; kept as removals, so that other VMs hear of them. */
+void FleetState::markRemoved(Mirror &mirror, const std::vector<StoreRecord> &present, std::uint64_t end)
+{
+    for (auto &[key, newest] : mirror.newest) {
+        const bool isPresent = std::any_of(
+            present.begin(), present.end(), [&, name = key](const auto &record) { return record.key == name; });
+        if (!isPresent && newest.value && newest.offset.value() < end) {
+            newest.value.reset();
+            newest.offset = LogOffset(end - 1);
+        }
+    }
+}
+
 void FleetState::takeRecord(Topic topic, const StoreRecord &record)
 {
     switch (topic) {
@@ -265,7 +274,12 @@
         context_.logger.state("store reading", { { "active", follows } });
         updateView();
     }
+    if (!follows && mirrors_[Topic::Endpoints].lost) {
+        // Those that read the store for this VM have its answers: what they pushed is as good as read.
+        endpoints_.registryBack(context_.now());
+    }
     for (const Topic topic : { Topic::Operator, Topic::Endpoints }) {
+        mirrors_[topic].lost = mirrors_[topic].lost && follows;
         store_.setActive(topic, follows, LogOffset(mirrors_[topic].end));
     }
 }
--- a/tools/gateway/src/main.cpp
+++ b/tools/gateway/src/main.cpp
@@ -3,6 +3,7 @@
 #include <boost/outcome/try.hpp>
 #include <gflags/gflags.h>
 
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -68,6 +69,8 @@
         std::cout << path << ": valid\n";
         return 0;
     }
+    // A process that is killed leaves every line that it wrote.
+    std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
     settings::LogSettings logSettings;
     logSettings.file = settings::standardOutput;
     const auto logger = telemetry::Logger::open(logSettings);
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -386,3 +386,34 @@
     cr_assert_eq(std::system(("grep -q 'node-name' " + path + ".err").c_str()), 0);
     std::system(("rm -f " + path + " " + path + ".err").c_str());
 }
+
+/** After an outage of the store, VMs that leave the reading to others must not take the store for lost any longer. */
+Test(gateway, removedEndpointIsLeftByAllVmsAfterAnOutage)
+{
+    constexpr std::size_t vms = 6; // more than read the store for all
+    Simple f(Behaviour::Answer, Behaviour::Stream, vms);
+    const Time known = f.harness.loop().clock().now() + 2s; // the VMs read each other's addresses
+    f.harness.waitFor([&] { return f.harness.loop().clock().now() > known; }, "the VMs to know each other");
+    // First all lose the store; then half of the VMs hear from the others, before it answers them again.
+    for (const std::size_t first : { std::size_t(0), vms / 2 }) {
+        f.harness.store().setFault(platform_standin::Store::Fault::Busy);
+        const auto refused = f.harness.store().refused();
+        f.harness.waitFor([&] { return f.harness.store().refused() > refused + 60; }, "all VMs to find the store lost");
+        f.harness.store().refuse(
+            { f.harness.storeOf(first), f.harness.storeOf(first + 1), f.harness.storeOf(first + 2) });
+        f.harness.store().setFault(platform_standin::Store::Fault::None);
+        const Time heard = f.harness.loop().clock().now() + 1500ms; // several beacons
+        f.harness.waitFor([&] { return f.harness.loop().clock().now() > heard; }, "the others to be heard");
+        f.harness.store().refuse({});
+        f.harness.store().remove("keyed.servers", "p1");
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            f.harness.waitFor([&] { return f.harness.ask(vm, "GET", "/safe/x", headers("2")).status == 503; },
+                              "the removed endpoint to get no more");
+        }
+        f.harness.registerEndpoint(f.plain);
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            f.harness.waitFor([&] { return f.harness.ask(vm, "GET", "/safe/x", headers("3")).status == 200; },
+                              "the endpoint to be back");
+        }
+    }
+}
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -42,7 +42,7 @@
     store_ = std::make_unique<platform_standin::Store>(loop_, ipOf(1));
     cr_assert(store_->start().has_value());
     for (std::size_t vm = 0; vm < vms; ++vm) {
-        vms_.push_back({ "vm-" + std::to_string(vm), ipOf(10 + vm), 0, {}, {} });
+        vms_.push_back({ "vm-" + std::to_string(vm), ipOf(10 + vm), 0, store_->openAddress().value(), {}, {} });
     }
 }
 
@@ -54,7 +54,9 @@
             waitpid(vm.process, nullptr, 0);
         }
         unlink(vm.settingsPath.c_str());
-        unlink(vm.logPath.c_str());
+        if (std::getenv("LACEWING_KEEP_LOGS") == nullptr) {
+            unlink(vm.logPath.c_str());
+        }
     }
 }
 
@@ -92,7 +94,7 @@
         const std::string base = "/tmp/lacewing-gateway-test-" + std::to_string(getpid()) + "-" + vm.name;
         vm.settingsPath = base + ".toml";
         vm.logPath = base + ".log";
-        std::ofstream(vm.settingsPath) << settingsText(vm, "a", store_->address());
+        std::ofstream(vm.settingsPath) << settingsText(vm, "a", vm.store);
         std::string program = LACEWING_GATEWAY_PROGRAM;
         std::string flag = "--settings=" + vm.settingsPath;
         char *const arguments[] = { program.data(), flag.data(), nullptr };
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -18,6 +18,7 @@
     std::string name;
     std::string ip;
     int process = 0;
+    std::string store; ///< address of the store that it alone uses
     std::string settingsPath;
     std::string logPath;
 };
@@ -59,6 +60,11 @@
                                                  const std::string &target,
                                                  net::Headers headers,
                                                  std::string body = {});
+    /** Address of the store that a VM alone uses. */
+    const std::string &storeOf(std::size_t vm) const
+    {
+        return vms_[vm].store;
+    }
     int readiness(std::size_t vm);
     void signal(std::size_t vm, int number);
     /** True once the process has ended. */
