Tests: sharing of calls and callers' time limits don't depend on the machine's speed

The case of two VMs that fill calls together counted calls, which on a slow machine may not have met; it now holds the first call until the others wait, and asks for a call with pieces of several requests. Time limits of 300 and 700 ms in two cases became 4 s. Both check as much as before.

--- a/libs/stages/tests/path_admission_test.cpp
+++ b/libs/stages/tests/path_admission_test.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-using routing::RouteStage;
 using routing::ServiceId;
 
 constexpr Time start { 100s };
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -188,7 +188,7 @@
 {
     Simple f(Behaviour::ForeignAnswer);
     auto sent = headers("id-1");
-    sent[2].value = "700";
+    sent[2].value = "4000";
     const auto answer = f.harness.ask(0, "POST", "/unsafe/x", sent, "b");
     cr_assert_eq(answer.status, 504);
 }
@@ -250,18 +250,22 @@
                 && f.harness.ask(1, "POST", "/staged/x", sent, "b").status == 200;
         },
         "both VMs");
+    first.holdPieces();
     std::vector<std::shared_ptr<std::optional<Answer>>> answers;
     for (int request = 0; request < 24; ++request) {
         sent[1].value = "id-" + std::to_string(request);
         answers.push_back(f.harness.begin(std::size_t(request % 2), "POST", "/staged/x", sent, "b"));
     }
+    const Time gathered = f.harness.loop().clock().now() + 1s; // all but the first call wait for its end
+    f.harness.waitFor([&] { return f.harness.loop().clock().now() > gathered; }, "the requests to come");
+    first.releaseHeld();
     for (const auto &answer : answers) {
         f.harness.waitFor([&] { return answer->has_value(); }, "an answer");
         cr_assert_eq((*answer)->status, 200);
     }
     const auto &calls = first.pieceCalls();
     cr_assert_leq(*std::max_element(calls.begin(), calls.end()), 8U);
-    cr_assert_lt(calls.size(), 26U, "%zu calls: none was shared", calls.size());
+    cr_assert_gt(*std::max_element(calls.begin(), calls.end()), 4U, "%zu calls: hardly any was shared", calls.size());
 }
 
 Test(gateway, newDesiredStateTakesOverAndNeverReverts)
@@ -329,7 +333,7 @@
     const auto held = f.harness.begin(0, "POST", "/unsafe/x", headers("1"), "b");
     f.harness.waitFor([&] { return f.plain.runs() == 1; }, "the request to run");
     auto second = headers("2");
-    second[2].value = "300"; // the caller's own time ends
+    second[2].value = "4000"; // the caller's own time ends
     const auto answer = f.harness.ask(0, "POST", "/unsafe/x", second, "b");
     cr_assert_eq(answer.status, 504);
     f.plain.releaseHeld();
