--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -71,15 +71,15 @@
 void FleetState::watch(Topic topic, const userplatform::WatchTimes &times)
 {
     userplatform::TopicHandlers handlers;
-    handlers.onSnapshot = [this, topic](std::vector<StoreRecord> all, LogOffset end) {
-        take(topic, std::move(all), end.value(), true);
+    handlers.onSnapshot = [this, topic](const std::vector<StoreRecord> &all, LogOffset end) {
+        take(topic, all, end.value(), true);
     };
-    handlers.onRecords = [this, topic](std::vector<StoreRecord> records, LogOffset end) {
+    handlers.onRecords = [this, topic](const std::vector<StoreRecord> &records, LogOffset end) {
         const std::uint64_t before = mirrors_[topic].end;
         if (end.value() > before) {
             push(topic, before, records);
         }
-        take(topic, std::move(records), end.value(), false);
+        take(topic, records, end.value(), false);
     };
     handlers.onLost = [this, topic](const std::string &why) {
         mirrors_[topic].lost = true;
@@ -100,7 +100,7 @@
     store_.watch(topic, times, std::move(handlers));
 }
 
-void FleetState::take(Topic topic, std::vector<StoreRecord> records, std::uint64_t end, bool isAll)
+void FleetState::take(Topic topic, const std::vector<StoreRecord> &records, std::uint64_t end, bool isAll)
 {
     Mirror &mirror = mirrors_[topic];
     if (isAll && topic == Topic::Endpoints) {
@@ -114,7 +114,7 @@
     if (isAll) {
         markRemoved(mirror, records, end);
     }
-    for (auto &record : records) {
+    for (const auto &record : records) {
         auto &newest = mirror.newest[record.key];
         if (newest.key.empty() || newest.offset <= record.offset) {
             newest = record;
@@ -322,7 +322,7 @@
         records.push_back({ record.key, LogOffset(record.offset), std::move(value) });
     }
     std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
-    take(topic, std::move(records), answer.end, false);
+    take(topic, records, answer.end, false);
 }
 
 void FleetState::heard(const VmId &vm, const Beacon &beacon)
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -61,7 +61,10 @@
     };
 
     void watch(userplatform::Topic topic, const userplatform::WatchTimes &times);
-    void take(userplatform::Topic topic, std::vector<userplatform::StoreRecord> records, std::uint64_t end, bool isAll);
+    void take(userplatform::Topic topic,
+              const std::vector<userplatform::StoreRecord> &records,
+              std::uint64_t end,
+              bool isAll);
     static void markRemoved(Mirror &mirror, const std::vector<userplatform::StoreRecord> &present, std::uint64_t end);
     void takeRecord(userplatform::Topic topic, const userplatform::StoreRecord &record);
     void takeDesiredState(const userplatform::StoreRecord &record);
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-Json route(const char *name, const char *kind, const char *service, Json more = Json::object())
+Json route(const char *name, const char *kind, const char *service, const Json &more = Json::object())
 {
     Json result { { "name", name },       { "host", "h.example" }, { "path-prefix", std::string("/") + name + "/" },
                   { "kind", kind },       { "timeout-ms", 20000 }, { "target-latency-ms", 10000 },
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -118,7 +118,7 @@
 std::shared_ptr<std::optional<Answer>> Harness::begin(
     std::size_t vm, const std::string &method, const std::string &target, net::Headers headers, std::string body)
 {
-    const auto result = std::make_shared<std::optional<Answer>>();
+    auto result = std::make_shared<std::optional<Answer>>();
     net::HttpCall call;
     call.address = vms_[vm].ip + ":" + std::to_string(callersPort);
     call.method = method;
