Tests of the gateway: only the caller's leaving can end the work in its case

Mutations, each on a scratch copy, one case each: never sending again (onlyWhatMayRepeatIsSentAgain fails), each VM filling its own calls (vmsFillCallsTogether fails), taking an older desired state (newDesiredStateTakesOverAndNeverReverts fails), leaving that isn't sticky (leavingEndpointGetsNoNewWork fails). Not cancelling when the caller leaves: the case passed. Cause: the request's own limit of 15 s ended the work within the harness's 30 s. Its limits are now beyond that; the mutated program fails it. 29 of 29 pass on the program as it is.

--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -324,13 +324,18 @@
 
 Test(gateway, callerThatLeavesEndsTheWork)
 {
+    // Both time limits are beyond the harness's patience, so that only the caller's leaving can end the work.
+    constexpr auto tooLong = 120s;
     Simple f(Behaviour::Hold);
+    const RouteSpec slow { .name = "slow", .kind = RouteKind::Unsafe, .service = "plain", .timeout = tooLong };
+    f.harness.store().publish(stateOf(2, { slow }));
     net::HttpClient caller(f.harness.loop(), {});
     net::HttpCall call;
     call.address = f.harness.callersAddress(0);
     call.method = "POST";
-    call.target = "/unsafe/x";
-    call.headers = headers("1");
+    call.target = "/slow/x";
+    call.headers = callerHeaders({ .id = "1", .key = key, .patience = tooLong });
+    f.harness.waitFor([&] { return f.harness.store().isCaughtUp(); }, "the slow route to be known");
     const auto handle = caller.start(call, {}, {});
     f.harness.waitFor([&] { return f.plain.runs() == 1; }, "the request to run");
     cr_assert_eq(f.plain.abandoned(), 0U);
