gateway: a request whose stages fail after an engine may have run it is not refused as not run

Cause: whether a request that can't go on is refused or failed was decided in four places, and two more, a stage that comes too late or fails, refused it in any case. A resumable stream whose answer was lost at one engine, and whose next engine missed its inputs, has its stages made again; if they failed, its caller was told 503, though it had run. Ruled out: routes that may run once only: they are not sent again after a run, so they never come back to the stages. Change: one giveUp() decides for all. The outcome words "endpoint is full" and "no other endpoint" became "not run by the endpoint" and "no endpoint".

--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -334,13 +334,13 @@
 void RequestRun::pieceFailed(stages::PieceIndex index, PieceFailure failure)
 {
     if (failure == PieceFailure::Late) {
-        refuse(net::status::unavailable, "stage too late", comeBackAfter);
+        giveUp("stage too late");
         return;
     }
     const bool wasMade = failure == PieceFailure::Failed;
     const auto &service = route_->stages[index.stage].service;
     if (++pieceRepeats_ > maxPieceRepeats || (wasMade && !shared_.budget(service).allowRepeat(now()))) {
-        refuse(net::status::unavailable, "stage failed", comeBackAfter);
+        giveUp("stage failed");
         return;
     }
     if (failure == PieceFailure::InputsGone) {
@@ -423,11 +423,7 @@
     const auto choices = candidates();
     const auto *entry = shared_.chooser.choose(choices, shared_.context.settings.zone, now());
     if (entry == nullptr) {
-        if (mayHaveRun_) {
-            fail(net::status::badGateway, "no other endpoint");
-        } else {
-            refuse(net::status::unavailable, "no endpoint", comeBackAfter);
-        }
+        giveUp("no endpoint");
         return;
     }
     send(*entry);
@@ -667,13 +663,8 @@
             return;
         }
     }
-    if (sendAgain("not run", false)) {
-        return;
-    }
-    if (mayHaveRun_ || headPassed_) {
-        fail(net::status::badGateway, "not run");
-    } else {
-        refuse(net::status::unavailable, "endpoint is full", comeBackAfter);
+    if (!sendAgain("not run", false)) {
+        giveUp("not run by the endpoint");
     }
 }
 
@@ -682,13 +673,8 @@
     if (!end.requestWritten) {
         shared_.endpointUnreachable(endpoint_->id);
         closeSend(dispatch::SendOutcome::Unreachable);
-        if (sendAgain("unreachable", false)) {
-            return;
-        }
-        if (mayHaveRun_ || headPassed_) {
-            fail(net::status::badGateway, "unreachable");
-        } else {
-            refuse(net::status::unavailable, "unreachable", comeBackAfter);
+        if (!sendAgain("unreachable", false)) {
+            giveUp("unreachable");
         }
         return;
     }
@@ -758,6 +744,16 @@
     finish(status, why);
 }
 
+/** Ends a request for which nothing more can be done: refused if it surely has not run, else failed. */
+void RequestRun::giveUp(std::string_view why)
+{
+    if (mayHaveRun_ || headPassed_) {
+        fail(net::status::badGateway, why);
+    } else {
+        refuse(net::status::unavailable, why, comeBackAfter);
+    }
+}
+
 /** Ends a request that may have run; a stream that has begun is cut off. */
 void RequestRun::fail(int status, std::string_view why)
 {
--- a/tools/gateway/src/request_run.h
+++ b/tools/gateway/src/request_run.h
@@ -100,6 +100,7 @@
 
     // Ends
     void refuse(int status, std::string_view why, std::optional<Duration> comeBack);
+    void giveUp(std::string_view why);
     void fail(int status, std::string_view why);
     void finish(int status, std::string_view outcome);
     void deadlineReached();
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -40,6 +40,11 @@
                .kind = RouteKind::Stream,
                .service = "engine",
                .stages = { { "first", {} }, { "second", { 0 } } } },
+             { .name = "again",
+               .kind = RouteKind::Stream,
+               .service = "engine",
+               .isResumable = true,
+               .stages = { { "first", {} }, { "second", { 0 } } } },
              { .name = "open", .service = "plain", .isPublic = true } };
 }
 
@@ -224,6 +229,32 @@
     cr_assert(first.complaints().empty() && second.complaints().empty());
 }
 
+/** An engine may have run it, so it must not be refused as not run, whatever fails later. */
+Test(gateway, stagesThatFailAfterARunAreNoRefusal)
+{
+    Simple f;
+    auto &first = f.harness.addEndpoint("f1", "first", Behaviour::Answer);
+    f.harness.addEndpoint("s1", "second", Behaviour::Answer);
+    auto &other = f.harness.addEndpoint("g2", "engine", Behaviour::Stream);
+    const auto sent = stagedHeaders("id-1", { 1, 1 });
+    f.harness.waitFor([&] { return f.harness.ask(0, "POST", "/again/x", sent, "b").status == 200 && other.runs() > 0; },
+                      "all endpoints");
+    // The first engine runs it and its answer is lost; the next one misses the results, which nobody makes again.
+    int sends = 0;
+    const auto behaviour = [&] {
+        if (++sends == 1) {
+            return Behaviour::LoseAnswer;
+        }
+        first.stopPieces();
+        return Behaviour::MissInputs;
+    };
+    f.engine.setBehaviour(behaviour);
+    other.setBehaviour(behaviour);
+    const auto answer = f.harness.ask(0, "POST", "/again/x", sent, "b");
+    cr_assert_eq(sends, 2);
+    cr_assert_eq(answer.status, 502, "%d", answer.status);
+}
+
 Test(gateway, vmsFillCallsTogether)
 {
     Simple f(Behaviour::Answer, Behaviour::Stream, 2);
