gateway: a request's stages, sends and placement are classes of their own

Cause: request_run.cpp (825 lines) held admission, stages, placement, sends, forwarding and what all requests share, and a newcomer had to read all of it to follow one request. Change: RequestStages makes and gives up pieces, EndpointSend is one send and what it teaches about the endpoint, RequestPlacement chooses where, RunShared has what the requests share; RequestRun (528 lines) decides. On the way: - results and their stages stood in two maps, walked in three places, once for each candidate; ResultBytes is added up once for each dispatch; - whether a zone is heard was worked out for each endpoint over all VMs; now once for each zone of a dispatch; - the rank was chosen in two places, the learned mean written twice; - a branch for pieces that come after the end is gone: what is cancelled is not told any more, and PieceService gives such results up itself; - an engine that misses its inputs lost the request its results even if nothing was made again, and the next engine was sent empty ones. Ruled out: splitting the file without splitting the class.

--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -8,86 +8,25 @@
 {
 
 using routing::RouteKind;
-using userplatform::PieceFailure;
-
-constexpr int okStatus = 200;
-constexpr int firstFailureStatus = 300;
-constexpr int serverErrorStatus = 500;
-
-/** Wait for a connection to an endpoint; links within a region take a few ms. */
-constexpr Duration connectLimit = 400ms;
-/** Time that is kept for the engine to read a prompt and give its first event, when stages are given their due times.
- */
-constexpr Duration engineReserve = 200ms;
-/** Time that a stage takes at usual load, for the due times of the stages before it. */
-constexpr Duration stageReserve = 300ms;
-/** Least time that a stage takes, for the limits of the stages before it. */
-constexpr Duration stageLeast = 150ms;
-/** Least time that an engine takes. */
-constexpr Duration engineLeast = 100ms;
-/** A request whose stages aren't done after this many times its target is given up. */
-constexpr double latestOverTarget = 2.0;
-/** Pieces of one request that are made again at most. */
-constexpr int maxPieceRepeats = 20;
-/** Pause before a piece is made again for which there was no memory. */
-constexpr Duration noRoomPause = 40ms;
+
 /** A request isn't sent again with less time than this left. */
 constexpr Duration leastTimeToSendAgain = 60ms;
+/** Times that stages are made again since an engine missed their results. */
+constexpr int maxInputRepeats = 2;
 /** Time after which a refused caller may come back, and by how much it is spread so that they don't return together. */
 constexpr Duration comeBackAfter = 400ms;
 constexpr double comeBackSpread = 0.5;
-/** Prompt tokens that an engine reads in a ms; typical of the engines in use. */
-constexpr double promptTokensPerMs = 90;
-/** A result that another zone holds makes a send there longer by this, in ms for each MB: it stands for the cost of
- * bytes between zones. */
-constexpr double otherZoneMsPerMegabyte = 40;
-/** Preference for the engine to which all VMs send a session, in ms for each of its tokens: above the time to read
- * them, as engines are then free for other prompts. */
-constexpr double sessionMsPerToken = 0.03;
-/** A session with fewer tokens doesn't decide where the request's results are made. */
-constexpr std::uint32_t leastSessionTokens = 1'000;
 /** Output tokens weigh this much against prompt tokens in the size of a request. */
 constexpr double outputTokenWeight = 10;
-/** Weight of the newest request in a route's learned mean size. */
-constexpr double meanGain = 0.05;
+/** Credit of a request: a fixed part, and one that grows with its size against the mean of its route up to a bound. */
+constexpr double fixedCredit = 0.3;
+constexpr double mostSize = 4;
 /** Urgency that engines use when none is given; the ranks of routes are laid around it. */
 constexpr int baseUrgency = 3;
 constexpr int lowestUrgency = 9;
 
 } // namespace
 
-dispatch::RetryBudget &RunShared::budget(const routing::ServiceId &service)
-{
-    auto &budget = budgets.try_emplace(service, context.settings.retry).first->second;
-    budget.setVms(links.liveCount());
-    return budget;
-}
-
-void RunShared::count(const std::string &route, int status, Duration time)
-{
-    constexpr int hundreds = 100;
-    const std::string statusClass = status == 0 ? "none" : std::to_string(status / hundreds) + "xx";
-    context.metrics
-        .counter({ "requests", "Requests that have ended" }, { { "route", route }, { "status", statusClass } })
-        .add();
-    context.metrics
-        .histogram({ "request_time", "From the arrival of a request to its final answer", telemetry::Unit::Seconds },
-                   { { "status", statusClass } },
-                   telemetry::latencyBuckets())
-        .observe(time);
-}
-
-void RunShared::endpointUnreachable(const EndpointId &endpoint)
-{
-    for (const auto request : crashes.unreachable(endpoint, context.now())) {
-        const int count = suspects.crashed(request, context.now());
-        context.logger.state("suspect request",
-                             { { "fingerprint", request }, { "endpoint", endpoint }, { "crashes", count } });
-        links.sendToAll(
-            envelope(MessageKind::Suspect, SuspectMessage { request.value(), static_cast<std::uint32_t>(count) }));
-    }
-}
-
 RequestRun::RequestRun(RunShared &shared, net::HttpRequest request, net::ResponseWriter writer)
     : shared_(shared)
     , request_(std::move(request))
@@ -122,25 +61,17 @@
         refuse(net::status::unavailable, "endpoints went down while they ran it", route_->timeout);
         return;
     }
-    const Duration patience = std::min(facts_.patience.value_or(route_->timeout), route_->timeout);
-    deadline_ = request_.receivedAt + patience;
-    if (deadline_ <= now()) {
-        refuse(net::status::unavailable, "no time left", std::nullopt);
+    if (!setDeadline()) {
         return;
     }
-    deadlineTimer_ = shared_.context.loop.timers().once(deadline_, [weak = weak_from_this()](Time) {
-        if (const auto self = weak.lock()) {
-            self->deadlineReached();
-        }
-    });
     service_ = chooseService();
     shared_.budget(service_).requestSeen(now());
+    placement_.emplace(shared_, facts_, service_);
     const bool hasStages = std::any_of(
         facts_.pieceCounts.begin(), facts_.pieceCounts.end(), [](std::uint32_t count) { return count > 0; });
     if (hasStages && !route_->stages.empty()) {
         beginStages();
     } else {
-        chooseSessionEngine();
         dispatch();
     }
 }
@@ -168,7 +99,30 @@
     return true;
 }
 
-routing::ServiceId RequestRun::chooseService()
+/** Refuses a request whose time has passed before it was read. */
+bool RequestRun::setDeadline()
+{
+    const Duration patience = std::min(facts_.patience.value_or(route_->timeout), route_->timeout);
+    deadline_ = request_.receivedAt + patience;
+    if (deadline_ <= now()) {
+        refuse(net::status::unavailable, "no time left", std::nullopt);
+        return false;
+    }
+    deadlineTimer_ = shared_.context.loop.timers().once(deadline_, [weak = weak_from_this()](Time) {
+        if (const auto self = weak.lock()) {
+            self->deadlineReached();
+        }
+    });
+    return true;
+}
+
+/** Its own rank, or its workspace's, which goes before it. */
+int RequestRun::rank() const noexcept
+{
+    return holder_ != nullptr && holder_->rank ? *holder_->rank : route_->rank;
+}
+
+const routing::ServiceId &RequestRun::chooseService()
 {
     double total = 0;
     for (const auto &share : route_->services) {
@@ -184,23 +138,21 @@
     return route_->services.back().service;
 }
 
-/** Refuses a request whose stages can't be done in time. */
-bool RequestRun::admitStages()
+/** Refuses a request whose stages can't be done in time. @param size credit against the mean of its route */
+bool RequestRun::admitStages(double size)
 {
-    std::uint32_t pieces = 0;
+    double pieces = 0;
     for (std::uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
-        pieces += plan_->pieceCount(stage);
+        pieces += stages_->plan().pieceCount(stage);
     }
-    double &mean = shared_.meanPieces[route_->id];
-    mean = mean == 0 ? pieces : mean + meanGain * (pieces - mean);
     stages::PathRequest path;
     path.elapsed = now() - request_.receivedAt;
     path.target = route_->target;
-    path.afterStages = engineReserve;
-    path.rank = holder_ != nullptr && holder_->rank ? *holder_->rank : route_->rank;
-    path.relativeWorth = size_ * mean / std::max<double>(pieces, 1);
+    path.afterStages = RequestStages::engineReserve;
+    path.rank = rank();
+    path.relativeWorth = size * shared_.pieceCounts.learn(route_->id, pieces) / std::max(pieces, 1.0);
     path.isReturning = shared_.refused.isReturning(fingerprint_, now());
-    const auto decision = shared_.pieces.admission().decide(*plan_, path, now());
+    const auto decision = shared_.pieces.admission().decide(stages_->plan(), path, now());
     if (!decision.admitted) {
         shared_.decisions.write("stages too busy",
                                 { { "request", facts_.id },
@@ -217,201 +169,50 @@
     return decision.admitted;
 }
 
-/** The engine to which all VMs send the request's session, by rendezvous hashing. */
-void RequestRun::chooseSessionEngine()
-{
-    if (facts_.promptParts.size() < 2) {
-        return;
-    }
-    const std::uint64_t session = facts_.promptParts[facts_.promptParts.size() - 2].id;
-    std::uint64_t best = 0;
-    for (const auto *entry : shared_.state.endpoints().serving(service_)) {
-        const std::uint64_t rank = hashBytes(entry->id.text(), session);
-        if (rank >= best && !shared_.chooser.isLeftOut(entry->id, now())) {
-            best = rank;
-            sessionEngine_ = entry->id;
-        }
-    }
-}
-
-/** Learns the size of the route's requests, and sets what this one is worth against them. */
-void RequestRun::judgeWorth()
-{
-    const double tokens = double(facts_.promptTokens) + outputTokenWeight * double(facts_.maxOutputTokens);
-    double &mean = shared_.meanTokens[route_->id];
-    mean = mean == 0 ? tokens : mean + meanGain * (tokens - mean);
-    size_ = mean > 0 ? 0.3 + 0.7 * std::min(tokens / mean, 4.0) : 1;
-    worth_ = size_ / (1.0 + route_->rank);
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // Stages
 
 void RequestRun::beginStages()
 {
     phase_ = Phase::Stages;
-    chooseSessionEngine();
-    plan_.emplace(route_->stages, facts_.pieceCounts);
-    judgeWorth();
-    if (!admitStages()) {
-        return;
-    }
-    for (std::uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
-        if (plan_->pieceCount(stage) > 0) {
-            shared_.budget(route_->stages[stage].service).requestSeen(now());
-        }
-    }
-    submitReady();
-}
-
-void RequestRun::submitReady()
-{
-    std::unordered_map<routing::ServiceId, std::vector<stages::PieceOrder>> byService;
-    for (const auto &piece : plan_->takeReady()) {
-        byService[route_->stages[piece.index.stage].service].push_back(makeOrder(piece));
-    }
-    for (auto &[service, orders] : byService) {
-        std::vector<stages::PieceIndex> indices;
-        for (const auto &order : orders) {
-            indices.push_back(order.index);
-        }
-        auto callback = [weak = weak_from_this(), indices](std::size_t index, const PieceOutcome &outcome) {
-            if (const auto self = weak.lock()) {
-                self->pieceDone(indices[index], outcome);
-            }
-        };
-        submissions_.push_back(shared_.pieces.submit(service, resultZone(), std::move(orders), std::move(callback)));
-    }
-}
-
-stages::PieceOrder RequestRun::makeOrder(const stages::ReadyPiece &piece) const
-{
-    const auto &stage = route_->stages[piece.index.stage];
-    const auto following = std::int64_t(plan_->depthAfter(piece.index.stage));
-    const auto latest = Duration(std::int64_t(double(route_->target.count()) * latestOverTarget));
-    stages::PieceOrder order;
-    order.request = facts_.id;
-    order.index = piece.index;
-    order.key = facts_.pieceKey;
-    order.inputs = piece.inputs;
-    order.due = request_.receivedAt + route_->target - engineReserve - stageReserve * following;
-    order.limit = std::min(deadline_, request_.receivedAt + latest) - engineLeast - stageLeast * following;
-    order.worth = worth_;
-    order.resultBytes = stage.resultBytes;
-    std::uint64_t inputBytes = 0;
-    for (const auto before : stage.after) {
-        inputBytes += std::uint64_t(plan_->pieceCount(before)) * route_->stages[before].resultBytes.value();
-    }
-    order.zoneBytes = Bytes(stage.after.empty() ? stage.resultBytes.value() : inputBytes);
-    return order;
-}
-
-void RequestRun::pieceDone(stages::PieceIndex index, const PieceOutcome &outcome)
-{
-    if (phase_ == Phase::Done) {
-        if (outcome.result) {
-            shared_.pieces.release(route_->stages[index.stage].service, { *outcome.result });
-        }
-        return;
-    }
-    if (!outcome.result) {
-        pieceFailed(index, outcome.failure);
-        return;
-    }
-    const auto &handle = outcome.result->handle;
-    results_[handle] = *outcome.result;
-    stageOfResult_[handle] = index.stage;
-    plan_->completed(index, handle);
-    releaseUnneeded();
-    if (plan_->isComplete()) {
-        stagesDoneAt_ = now();
-        dispatch();
-    } else {
-        submitReady();
-    }
-}
-
-void RequestRun::pieceFailed(stages::PieceIndex index, PieceFailure failure)
-{
-    if (failure == PieceFailure::Late) {
-        giveUp("stage too late");
-        return;
-    }
-    const bool wasMade = failure == PieceFailure::Failed;
-    const auto &service = route_->stages[index.stage].service;
-    if (++pieceRepeats_ > maxPieceRepeats || (wasMade && !shared_.budget(service).allowRepeat(now()))) {
-        giveUp("stage failed");
-        return;
-    }
-    if (failure == PieceFailure::InputsGone) {
-        plan_->inputsGone(index);
-    } else {
-        plan_->failed(index);
-    }
-    const Duration pause = failure == PieceFailure::NoRoom ? noRoomPause : 0ms;
-    shared_.context.loop.timers().once(now() + pause, [weak = weak_from_this()](Time) {
-        const auto self = weak.lock();
-        if (self && self->phase_ == Phase::Stages) {
-            self->submitReady();
+    const double size = judgeSize();
+    StagesRequest stages { facts_.id,
+                           facts_.pieceKey,
+                           facts_.pieceCounts,
+                           request_.receivedAt,
+                           deadline_,
+                           size / (1.0 + route_->rank),
+                           placement_->sessionZone() };
+    StagesHandlers handlers;
+    handlers.onDone = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->stagesDoneAt_ = self->now();
+            self->dispatch();
         }
-    });
-}
-
-void RequestRun::releaseUnneeded()
-{
-    releaseHandles(plan_->takeReleasable());
-}
-
-void RequestRun::releaseAll()
-{
-    if (plan_) {
-        releaseHandles(plan_->takeAll());
-    }
-}
-
-void RequestRun::releaseHandles(const std::vector<stages::ResultHandle> &handles)
-{
-    std::unordered_map<routing::ServiceId, std::vector<HeldResult>> byService;
-    for (const auto &handle : handles) {
-        const auto found = results_.find(handle);
-        if (found == results_.end()) {
-            continue;
+    };
+    handlers.onGivenUp = [weak = weak_from_this()](std::string_view why) {
+        if (const auto self = weak.lock()) {
+            self->giveUp(why);
         }
-        byService[route_->stages[stageOfResult_[handle]].service].push_back(found->second);
-        results_.erase(found);
-        stageOfResult_.erase(handle);
-    }
-    for (const auto &[service, results] : byService) {
-        shared_.pieces.release(service, results);
+    };
+    stages_ = std::make_shared<RequestStages>(shared_, *route_, std::move(stages), std::move(handlers));
+    if (admitStages(size)) {
+        stages_->start();
     }
 }
 
-/** Tokens of the part of the prompt that the requests of a session share; the last part is the request's own. */
-std::uint32_t RequestRun::sessionTokens() const
-{
-    return facts_.promptParts.size() > 1 ? facts_.promptParts[facts_.promptParts.size() - 2].tokens : 0;
-}
-
-/** The zone of the engine to which the request's session belongs; this VM's own if its results needn't be there. */
-AvailabilityZoneId RequestRun::sessionZone() const
+void RequestRun::makeStagesAgain()
 {
-    const auto *engine =
-        sessionTokens() >= leastSessionTokens ? shared_.state.endpoints().find(sessionEngine_) : nullptr;
-    return engine != nullptr && shared_.links.isZoneHeard(engine->zone) ? engine->zone : shared_.context.settings.zone;
+    phase_ = Phase::Stages;
+    stages_->makeAgain();
 }
 
-/** The zone that holds most bytes of the results at hand. */
-AvailabilityZoneId RequestRun::resultZone() const
+/** Credit of the request against the mean of its route, which it adds to. */
+double RequestRun::judgeSize()
 {
-    std::unordered_map<AvailabilityZoneId, std::uint64_t> bytes;
-    for (const auto &[handle, result] : results_) {
-        if (const auto *entry = shared_.state.endpoints().find(result.endpoint)) {
-            bytes[entry->zone] += 1 + route_->stages[stageOfResult_.at(handle)].resultBytes.value();
-        }
-    }
-    const auto most =
-        std::max_element(bytes.begin(), bytes.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    return most == bytes.end() ? sessionZone() : most->first;
+    const double tokens = double(facts_.promptTokens) + outputTokenWeight * double(facts_.maxOutputTokens);
+    const double mean = shared_.tokens.learn(route_->id, tokens);
+    return mean > 0 ? fixedCredit + (1 - fixedCredit) * std::min(tokens / mean, mostSize) : 1;
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -420,94 +221,40 @@
 void RequestRun::dispatch()
 {
     phase_ = Phase::Waiting;
-    const auto choices = candidates();
-    const auto *entry = shared_.chooser.choose(choices, shared_.context.settings.zone, now());
+    const auto *service = routes_->service(service_);
+    const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
+    const auto *entry = placement_->choose(tried_, service != nullptr ? service->maxConnections : 0, results);
     if (entry == nullptr) {
         giveUp("no endpoint");
         return;
     }
-    send(*entry);
-}
-
-std::vector<dispatch::Candidate> RequestRun::candidates() const
-{
-    std::vector<dispatch::Candidate> all;
-    std::vector<dispatch::Candidate> heard;
-    const auto *service = routes_->service(service_);
-    const std::size_t vms = shared_.links.liveCount();
-    const std::size_t connections = service != nullptr ? service->maxConnections : 0;
-    for (const auto *entry : shared_.state.endpoints().serving(service_)) {
-        const bool wasTried = std::find(tried_.begin(), tried_.end(), entry->id) != tried_.end();
-        const bool isFull =
-            connections > 0 && shared_.chooser.open(entry->id) >= std::max<std::size_t>(connections / vms, 2);
-        if (wasTried || isFull) {
-            continue;
-        }
-        const dispatch::Candidate candidate { entry, extraMs(*entry) };
-        all.push_back(candidate);
-        if (shared_.links.isZoneHeard(entry->zone)) {
-            heard.push_back(candidate);
-        }
-    }
-    return heard.empty() ? all : heard;
-}
-
-/** Time that this request adds at an endpoint: reading its prompt, and moving its inputs. */
-double RequestRun::extraMs(const routing::EndpointEntry &entry) const
-{
-    constexpr double bytesInMegabyte = 1e6;
-    double ms = 0;
-    if (facts_.promptTokens > 0) {
-        const auto kept = shared_.prefixes.keptTokens(entry.id, facts_.promptParts, now());
-        ms += double(facts_.promptTokens - std::min(kept, facts_.promptTokens)) / promptTokensPerMs;
-        // All VMs send a session to the same engine if they can, so that its part is read there alone.
-        if (entry.id != sessionEngine_) {
-            ms += sessionMsPerToken * double(sessionTokens());
-        }
-    }
-    for (const auto &[handle, result] : results_) {
-        const auto *holder = shared_.state.endpoints().find(result.endpoint);
-        if (holder == nullptr || holder->zone != entry.zone) {
-            const auto bytes = route_->stages[stageOfResult_.at(handle)].resultBytes.value();
-            ms += double(bytes) / bytesInMegabyte * otherZoneMsPerMegabyte;
-        }
-    }
-    return ms;
+    send(*entry, results);
 }
 
-void RequestRun::send(const routing::EndpointEntry &entry)
+void RequestRun::send(const routing::EndpointEntry &entry, const ResultBytes &results)
 {
     phase_ = Phase::Sent;
-    endpoint_ = entry;
-    sentAt_ = now();
-    firstByte_.reset();
     body_.clear();
-    head_ = {};
-    answer_ = {};
     userplatform::SendFacts facts;
     facts.endpoint = entry.id;
     if (holder_ != nullptr) {
         facts.workspace = holder_->workspace;
     }
     facts.left = deadline_ - now();
-    if (plan_) {
-        facts.inputs = plan_->finalInputs();
+    if (stages_) {
+        facts.inputs = stages_->finalResults();
     }
     if (route_->kind == RouteKind::Stream) {
-        const int rank = holder_ != nullptr && holder_->rank ? *holder_->rank : route_->rank;
-        facts.urgency = std::clamp(baseUrgency + rank, 0, lowestUrgency);
+        facts.urgency = std::clamp(baseUrgency + rank(), 0, lowestUrgency);
     }
     if (!lastEvent_.empty()) {
         facts.lastEvent = lastEvent_;
     }
-    workMs_ = extraMs(entry);
-    shared_.chooser.sendStarted(entry.id, workMs_, now());
-    shared_.prefixes.used(entry.id, facts_.promptParts, now());
-    net::HttpHandlers handlers;
+    SendHandlers handlers;
     const auto weak = weak_from_this();
-    handlers.onHead = [weak](const net::HttpHead &head) {
+    handlers.onHead = [weak] {
         if (const auto self = weak.lock()) {
-            self->headReceived(head);
+            self->headReceived();
         }
     };
     handlers.onBody = [weak](std::string_view bytes) {
@@ -515,41 +262,27 @@
             self->bodyReceived(bytes);
         }
     };
-    handlers.onDone = [weak](const net::HttpEnd &end) {
+    handlers.onEnd = [weak](const net::HttpEnd &end) {
         if (const auto self = weak.lock()) {
             self->sendEnded(end);
         }
     };
-    call_ = shared_.client.start(userplatform::makeForwardCall(request_, facts_, entry.address, facts),
-                                 { connectLimit, 0s, 0s, 0s },
-                                 std::move(handlers));
+    const double workMs = placement_->workMs(entry, results);
+    shared_.prefixes.used(entry.id, facts_.promptParts, now());
+    send_ = std::make_shared<EndpointSend>(shared_, entry, workMs, std::move(handlers));
+    send_->start(userplatform::makeForwardCall(request_, facts_, entry.address, facts));
 }
 
-void RequestRun::headReceived(const net::HttpHead &head)
+void RequestRun::headReceived()
 {
-    head_ = head;
-    answer_ = userplatform::readAnswerFacts(head);
-    firstByte_ = now() - sentAt_;
-    if (answer_.load) {
-        shared_.chooser.loadReported(endpoint_->id, *answer_.load, now());
-    }
-    if (answer_.isOtherEndpoint) {
-        shared_.state.endpoints().reject(endpoint_->id);
-    }
-    if (route_->kind == RouteKind::Stream && isGenuine()) {
-        phase_ = Phase::Forwarding;
-        if (!headPassed_) {
-            headPassed_ = true;
-            writer_.begin(head.status, userplatform::passedHeaders(head));
-        }
+    if (route_->kind != RouteKind::Stream || !send_->isGenuine(facts_.id)) {
+        return;
+    }
+    phase_ = Phase::Forwarding;
+    if (!headPassed_) {
+        headPassed_ = true;
+        writer_.begin(send_->head().status, userplatform::passedHeaders(send_->head()));
     }
-}
-
-/** True for a success that carries what proves it to be the endpoint's answer to this request. */
-bool RequestRun::isGenuine() const
-{
-    const bool isSuccess = head_.status >= okStatus && head_.status < firstFailureStatus;
-    return isSuccess && answer_.isSealed && answer_.requestId == facts_.id.text();
 }
 
 void RequestRun::bodyReceived(std::string_view bytes)
@@ -558,29 +291,18 @@
         body_ += bytes;
         return;
     }
-    firstEvent();
-    forwardEvents(bytes);
-}
-
-/** The engine has read its inputs and prompt. */
-void RequestRun::firstEvent()
-{
-    if (workMs_ > 0) {
-        shared_.chooser.workDone(endpoint_->id, workMs_);
-        workMs_ = 0;
-    }
-    if (!results_.empty()) {
-        releaseAll();
+    // The engine has read its inputs and prompt.
+    send_->workDone();
+    if (stages_ && stages_->holdsResults()) {
+        stages_->releaseAll();
     }
+    forwardEvents(bytes);
 }
 
 void RequestRun::forwardEvents(std::string_view bytes)
 {
     if (!route_->isResumable) {
-        eventPassed_ = true;
-        if (writer_.write(bytes) == net::WriteOutcome::Full) {
-            fail(0, "caller reads too slowly");
-        }
+        passOn(bytes);
         return;
     }
     // Only whole events, so that another engine can go on after the last of them.
@@ -588,80 +310,76 @@
         if (!event.id.empty()) {
             lastEvent_ = event.id;
         }
-        eventPassed_ = true;
-        if (writer_.write(event.bytes) == net::WriteOutcome::Full) {
-            fail(0, "caller reads too slowly");
-            return;
-        }
+        passOn(event.bytes);
     }
 }
 
-void RequestRun::sendEnded(const net::HttpEnd &end)
+void RequestRun::passOn(std::string_view bytes)
 {
-    call_ = {};
-    if (phase_ == Phase::Done) {
-        return;
+    eventPassed_ = true;
+    if (writer_.write(bytes) == net::WriteOutcome::Full) {
+        fail(0, "caller reads too slowly");
     }
-    if (!end.error && answer_.notRun) {
+}
+
+void RequestRun::sendEnded(const net::HttpEnd &end)
+{
+    if (end.error) {
+        answerBroken(end);
+    } else if (send_->facts().notRun) {
         answerNotRun();
-    } else if (!end.error) {
-        answerWhole();
     } else {
-        answerBroken(end);
+        answerWhole();
     }
 }
 
 void RequestRun::answerWhole()
 {
     ++sends_;
+    const auto &head = send_->head();
     if (phase_ == Phase::Forwarding) {
         closeSend(dispatch::SendOutcome::Answered);
         if (splitter_.pendingBytes() > 0) {
-            // Bytes after the last whole event are no event, but they are part of the answer.
+            // The rest of a resumable stream was held back as no whole event, so the answer can't be passed on whole.
             fail(0, "the stream ended within an event");
             return;
         }
         writer_.end();
-        finish(head_.status, "streamed");
+        finish(head.status, "streamed");
         return;
     }
-    const bool isSuccess = head_.status >= okStatus && head_.status < firstFailureStatus;
     mayHaveRun_ = true;
-    if (isGenuine()) {
+    if (send_->isGenuine(facts_.id)) {
         closeSend(dispatch::SendOutcome::Answered);
-        writer_.respond(head_.status, userplatform::passedHeaders(head_), body_);
-        finish(head_.status, "answered");
+        writer_.respond(head.status, userplatform::passedHeaders(head), body_);
+        finish(head.status, "answered");
         return;
     }
     closeSend(dispatch::SendOutcome::Failed);
-    if (sendAgain(isSuccess ? "spoilt answer" : "endpoint's failure", true)) {
+    const std::string_view why = send_->isSuccess() ? "spoilt answer" : "endpoint's failure";
+    if (sendAgain(why, true)) {
         return;
     }
-    const bool isOwnFailure = !isSuccess && answer_.isSealed && head_.status >= serverErrorStatus;
+    const bool isOwnFailure = send_->facts().isSealed && head.status >= net::status::internalError;
     if (isOwnFailure && !headPassed_) {
-        writer_.respond(head_.status, userplatform::passedHeaders(head_), body_);
-        finish(head_.status, "endpoint's failure");
+        writer_.respond(head.status, userplatform::passedHeaders(head), body_);
+        finish(head.status, why);
         return;
     }
-    fail(net::status::badGateway, isSuccess ? "spoilt answer" : "endpoint's failure");
+    fail(net::status::badGateway, why);
 }
 
 void RequestRun::answerNotRun()
 {
-    const int status = head_.status;
-    const bool isConflict = status == net::status::conflict;
-    closeSend(answer_.isOtherEndpoint || isConflict ? dispatch::SendOutcome::Answered
-                                                    : dispatch::SendOutcome::Declined);
-    if (!answer_.isOtherEndpoint) {
+    const bool isOther = send_->facts().isOtherEndpoint;
+    const bool missesInputs = send_->head().status == net::status::conflict;
+    closeSend(isOther || missesInputs ? dispatch::SendOutcome::Answered : dispatch::SendOutcome::Declined);
+    if (!isOther) {
         ++sends_;
     }
-    if (isConflict && plan_) {
-        plan_->finalInputsGone();
-        if (++pieceRepeats_ <= 2 && shared_.budget(service_).allowRepeat(now())) {
-            phase_ = Phase::Stages;
-            submitReady();
-            return;
-        }
+    if (missesInputs && stages_ && ++inputRepeats_ <= maxInputRepeats && shared_.budget(service_).allowRepeat(now())) {
+        makeStagesAgain();
+        return;
     }
     if (!sendAgain("not run", false)) {
         giveUp("not run by the endpoint");
@@ -671,7 +389,7 @@
 void RequestRun::answerBroken(const net::HttpEnd &end)
 {
     if (!end.requestWritten) {
-        shared_.endpointUnreachable(endpoint_->id);
+        shared_.endpointUnreachable(send_->endpoint());
         closeSend(dispatch::SendOutcome::Unreachable);
         if (!sendAgain("unreachable", false)) {
             giveUp("unreachable");
@@ -681,7 +399,7 @@
     ++sends_;
     mayHaveRun_ = true;
     if (end.error->kind == ErrorKind::ConnectionLost) {
-        shared_.crashes.connectionLost(endpoint_->id, fingerprint_, now());
+        shared_.crashes.connectionLost(send_->endpoint(), fingerprint_, now());
     }
     closeSend(dispatch::SendOutcome::Failed);
     if (!sendAgain(toText(end.error->kind), true)) {
@@ -691,18 +409,13 @@
 
 void RequestRun::closeSend(dispatch::SendOutcome outcome)
 {
-    if (!endpoint_) {
-        return;
-    }
-    if (workMs_ > 0) {
-        shared_.chooser.workDone(endpoint_->id, workMs_);
-        workMs_ = 0;
+    if (send_ && send_->isOpen()) {
+        send_->close(outcome);
+        tried_.push_back(send_->endpoint());
     }
-    shared_.chooser.sendEnded(endpoint_->id, outcome, firstByte_, now());
-    tried_.push_back(endpoint_->id);
-    endpoint_.reset();
 }
 
+/** Sends again, or resumes, if the route, the time and the budget allow it. @param ran the last endpoint may have */
 bool RequestRun::sendAgain(std::string_view why, bool ran)
 {
     const bool allowed = (!ran || route_->mayRepeat()) && sends_ < route_->maxEndpoints
@@ -719,14 +432,12 @@
                               { "after_event", lastEvent_ } },
                             now());
     splitter_.reset();
-    if (plan_ && results_.empty()) {
-        // The results were given up once the first engine had read them.
-        plan_->finalInputsGone();
-        phase_ = Phase::Stages;
-        submitReady();
-        return true;
-    }
-    dispatch();
+    if (stages_ && !stages_->holdsResults()) {
+        // The results were given up once the last engine had read them.
+        makeStagesAgain();
+    } else {
+        dispatch();
+    }
     return true;
 }
 
@@ -771,34 +482,29 @@
         return;
     }
     const auto self = shared_from_this();
-    const Time end = now();
-    const auto stagesMs = stagesDoneAt_ ? toMilliseconds(*stagesDoneAt_ - request_.receivedAt) : -1;
-    shared_.decisions.write("request done",
-                            { { "request", facts_.id },
-                              { "route", route_ != nullptr ? route_->id.text() : std::string() },
-                              { "state", routes_ ? routes_->state().version : routing::StateVersion() },
-                              { "status", status },
-                              { "outcome", outcome },
-                              { "ms", toMilliseconds(end - request_.receivedAt) },
-                              { "stages_ms", stagesMs },
-                              { "first_byte_ms", firstByte_ ? toMilliseconds(*firstByte_) : -1 },
-                              { "sends", sends_ },
-                              { "endpoint",
-                                endpoint_            ? endpoint_->id.text()
-                                    : tried_.empty() ? std::string()
-                                                     : tried_.back().text() } },
-                            end);
-    shared_.count(route_ != nullptr ? route_->id.text() : std::string(), status, end - request_.receivedAt);
+    const Duration time = now() - request_.receivedAt;
+    const std::string route = route_ != nullptr ? route_->id.text() : std::string();
+    const auto firstByte = send_ ? send_->firstByte() : std::nullopt;
+    shared_.decisions.write(
+        "request done",
+        { { "request", facts_.id },
+          { "route", route },
+          { "state", routes_ ? routes_->state().version : routing::StateVersion() },
+          { "status", status },
+          { "outcome", outcome },
+          { "ms", toMilliseconds(time) },
+          { "stages_ms", stagesDoneAt_ ? toMilliseconds(*stagesDoneAt_ - request_.receivedAt) : -1 },
+          { "first_byte_ms", firstByte ? toMilliseconds(*firstByte) : -1 },
+          { "sends", sends_ },
+          { "endpoint", send_ ? send_->endpoint() : EndpointId() } },
+        now());
+    shared_.count(route, status, time);
     phase_ = Phase::Done;
     shared_.context.loop.timers().cancel(deadlineTimer_);
-    for (const auto submission : submissions_) {
-        shared_.pieces.cancel(submission);
-    }
-    if (call_ != net::HttpCallHandle()) {
-        shared_.client.cancel(std::exchange(call_, {}));
-    }
     closeSend(dispatch::SendOutcome::Abandoned);
-    releaseAll();
+    if (stages_) {
+        stages_->stop();
+    }
     writer_.onClosed(nullptr);
     shared_.open.erase(self);
 }
--- /dev/null
+++ b/tools/gateway/src/request_stages.cpp
@@ -0,0 +1,207 @@
+#include "request_stages.h"
+
+#include <algorithm>
+
+namespace lacewing::gateway
+{
+namespace
+{
+
+using userplatform::PieceFailure;
+
+/** Time that a stage takes at usual load, for the due times of the stages before it. */
+constexpr Duration stageReserve = 300ms;
+/** Least time that a stage takes, for the limits of the stages before it. */
+constexpr Duration stageLeast = 150ms;
+/** Least time that an engine takes. */
+constexpr Duration engineLeast = 100ms;
+/** A request whose stages aren't done after this many times its target is given up. */
+constexpr double latestOverTarget = 2.0;
+/** Pieces of one request that are made again at most. */
+constexpr int maxRepeats = 20;
+/** Pause before a piece is made again for which there was no memory. */
+constexpr Duration noRoomPause = 40ms;
+
+} // namespace
+
+std::uint64_t ResultBytes::outside(const AvailabilityZoneId &zone) const
+{
+    const auto inside = byZone.find(zone);
+    return total - (inside == byZone.end() ? 0 : inside->second);
+}
+
+RequestStages::RequestStages(RunShared &shared,
+                             const routing::Route &route,
+                             StagesRequest request,
+                             StagesHandlers handlers)
+    : shared_(shared)
+    , route_(route)
+    , request_(std::move(request))
+    , handlers_(std::move(handlers))
+    , plan_(route.stages, request_.pieceCounts)
+{
+}
+
+void RequestStages::start()
+{
+    for (std::uint32_t stage = 0; stage < route_.stages.size(); ++stage) {
+        if (plan_.pieceCount(stage) > 0) {
+            shared_.budget(serviceOf(stage)).requestSeen(shared_.context.now());
+        }
+    }
+    submitReady();
+}
+
+void RequestStages::makeAgain()
+{
+    plan_.finalInputsGone();
+    submitReady();
+}
+
+ResultBytes RequestStages::resultBytes() const
+{
+    ResultBytes bytes;
+    for (const auto &[handle, result] : results_) {
+        const std::uint64_t size = bytesOf(result.stage).value();
+        bytes.total += size;
+        if (const auto *entry = shared_.state.endpoints().find(result.held.endpoint)) {
+            bytes.byZone[entry->zone] += size;
+        }
+    }
+    return bytes;
+}
+
+void RequestStages::releaseAll()
+{
+    release(plan_.takeAll());
+}
+
+void RequestStages::stop()
+{
+    stopped_ = true;
+    for (const auto submission : submissions_) {
+        shared_.pieces.cancel(submission);
+    }
+    releaseAll();
+}
+
+void RequestStages::submitReady()
+{
+    std::unordered_map<routing::ServiceId, std::vector<stages::PieceOrder>> byService;
+    for (const auto &piece : plan_.takeReady()) {
+        byService[serviceOf(piece.index.stage)].push_back(makeOrder(piece));
+    }
+    for (auto &[service, orders] : byService) {
+        std::vector<stages::PieceIndex> indices;
+        for (const auto &order : orders) {
+            indices.push_back(order.index);
+        }
+        auto callback = [weak = weak_from_this(), indices](std::size_t index, const PieceOutcome &outcome) {
+            if (const auto self = weak.lock()) {
+                self->pieceDone(indices[index], outcome);
+            }
+        };
+        submissions_.push_back(shared_.pieces.submit(service, wantedZone(), std::move(orders), std::move(callback)));
+    }
+}
+
+stages::PieceOrder RequestStages::makeOrder(const stages::ReadyPiece &piece) const
+{
+    const auto &stage = route_.stages[piece.index.stage];
+    const auto following = std::int64_t(plan_.depthAfter(piece.index.stage));
+    const auto latest = Duration(std::int64_t(double(route_.target.count()) * latestOverTarget));
+    stages::PieceOrder order;
+    order.request = request_.id;
+    order.index = piece.index;
+    order.key = request_.pieceKey;
+    order.inputs = piece.inputs;
+    order.due = request_.receivedAt + route_.target - engineReserve - stageReserve * following;
+    order.limit = std::min(request_.deadline, request_.receivedAt + latest) - engineLeast - stageLeast * following;
+    order.worth = request_.worth;
+    order.resultBytes = stage.resultBytes;
+    std::uint64_t inputBytes = 0;
+    for (const auto before : stage.after) {
+        inputBytes += std::uint64_t(plan_.pieceCount(before)) * bytesOf(before).value();
+    }
+    order.zoneBytes = stage.after.empty() ? stage.resultBytes : Bytes(inputBytes);
+    return order;
+}
+
+/** The zone that holds most bytes of the results at hand. */
+AvailabilityZoneId RequestStages::wantedZone() const
+{
+    const auto bytes = resultBytes();
+    const auto most = std::max_element(
+        bytes.byZone.begin(), bytes.byZone.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    return most == bytes.byZone.end() ? request_.firstZone : most->first;
+}
+
+void RequestStages::pieceDone(stages::PieceIndex index, const PieceOutcome &outcome)
+{
+    if (!outcome.result) {
+        pieceFailed(index, outcome.failure);
+        return;
+    }
+    const auto &handle = outcome.result->handle;
+    results_[handle] = { *outcome.result, index.stage };
+    plan_.completed(index, handle);
+    release(plan_.takeReleasable());
+    if (plan_.isComplete()) {
+        handlers_.onDone();
+    } else {
+        submitReady();
+    }
+}
+
+void RequestStages::pieceFailed(stages::PieceIndex index, PieceFailure failure)
+{
+    const Time now = shared_.context.now();
+    if (failure == PieceFailure::Late) {
+        handlers_.onGivenUp("stage too late");
+        return;
+    }
+    const bool wasMade = failure == PieceFailure::Failed;
+    if (++repeats_ > maxRepeats || (wasMade && !shared_.budget(serviceOf(index.stage)).allowRepeat(now))) {
+        handlers_.onGivenUp("stage failed");
+        return;
+    }
+    if (failure == PieceFailure::InputsGone) {
+        plan_.inputsGone(index);
+    } else {
+        plan_.failed(index);
+    }
+    const Duration pause = failure == PieceFailure::NoRoom ? noRoomPause : 0ms;
+    shared_.context.loop.timers().once(now + pause, [weak = weak_from_this()](Time) {
+        const auto self = weak.lock();
+        if (self && !self->stopped_) {
+            self->submitReady();
+        }
+    });
+}
+
+void RequestStages::release(const std::vector<stages::ResultHandle> &handles)
+{
+    std::unordered_map<routing::ServiceId, std::vector<HeldResult>> byService;
+    for (const auto &handle : handles) {
+        const auto found = results_.find(handle);
+        if (found != results_.end()) {
+            byService[serviceOf(found->second.stage)].push_back(found->second.held);
+            results_.erase(found);
+        }
+    }
+    for (const auto &[service, results] : byService) {
+        shared_.pieces.release(service, results);
+    }
+}
+
+const routing::ServiceId &RequestStages::serviceOf(std::uint32_t stage) const
+{
+    return route_.stages[stage].service;
+}
+
+Bytes RequestStages::bytesOf(std::uint32_t stage) const
+{
+    return route_.stages[stage].resultBytes;
+}
+
+} // namespace lacewing::gateway
