gateway: filling calls is a class of its own; messages carry their types

Cause: piece_service.cpp (632 lines) held both which VM fills a service's calls and the filling itself; failures and topics crossed between VMs as bare numbers that were cast back unchecked. Change: CallFiller fills and sends calls, PieceService (394 lines) places pieces. Pieces and outcomes are turned into messages and back in one place each. Whether a VM with pieces is lost was worked out from a list of all members for each open submission. A number that is no failure or topic is now a malformed message.

--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -289,7 +289,7 @@
     if (topic == Topic::Vms || !follows_ || !isReader()) {
         return;
     }
-    RecordsPush push { static_cast<std::uint32_t>(topic), after, {} };
+    RecordsPush push { topic, after, {} };
     for (const auto &record : records) {
         push.records.records.push_back({ record.key, record.offset.value(), !record.value, record.value.value_or("") });
         push.records.end = std::max(push.records.end, record.offset.value() + 1);
@@ -299,7 +299,7 @@
 
 void FleetState::pushed(const VmId &vm, const RecordsPush &push)
 {
-    const auto topic = Topic(push.topic);
+    const Topic topic = push.topic;
     if (topic != Topic::Operator && topic != Topic::Endpoints) {
         return;
     }
@@ -347,7 +347,7 @@
         return;
     }
     mirror.askedPeerAt = now;
-    const RecordsRequest request { static_cast<std::uint32_t>(topic), mirror.end };
+    const RecordsRequest request { topic, mirror.end };
     peer::CallHandlers handlers;
     handlers.onData = [this, topic, vm](const std::string &message) {
         const auto answer = wire::decode<RecordsAnswer>(message);
@@ -369,7 +369,7 @@
 void FleetState::answer(const RecordsRequest &request, peer::PeerCallWriter writer) const
 {
     RecordsAnswer answer;
-    const auto mirror = mirrors_.find(Topic(request.topic));
+    const auto mirror = mirrors_.find(request.topic);
     if (mirror != mirrors_.end()) {
         answer.end = mirror->second.end;
         for (const auto &[key, record] : mirror->second.newest) {
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -89,7 +89,6 @@
     routing::EndpointDirectory endpoints_;
     bool endpointsKnown_ = false;
     bool follows_ = true; ///< this VM reads the store itself
-    std::uint64_t lastRevision_ = 0;
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <userplatform/userplatform.h>
 #include <wire/wire.h>
 
 #include <cstdint>
@@ -68,7 +69,7 @@
     std::uint32_t index = 0; ///< within the request
     std::string handle; ///< empty: not made
     std::string endpoint; ///< that made it
-    std::uint32_t failure = 0; ///< a userplatform::PieceFailure, if not made
+    userplatform::PieceFailure failure = userplatform::PieceFailure::Failed; ///< if not made
 
     LACEWING_MEMBERS(index, handle, endpoint, failure)
 };
@@ -98,7 +99,7 @@
 
 /** Asks another VM for records of a topic that this one can't get from the store. */
 struct RecordsRequest {
-    std::uint32_t topic = 0; ///< a userplatform::Topic
+    userplatform::Topic topic = userplatform::Topic::Operator;
     std::uint64_t after = 0; ///< records from this offset on
 
     LACEWING_MEMBERS(topic, after)
@@ -120,7 +121,7 @@
 
 /** Records that a VM has just read, sent to the VMs that don't read the store themselves. */
 struct RecordsPush {
-    std::uint32_t topic = 0; ///< a userplatform::Topic
+    userplatform::Topic topic = userplatform::Topic::Operator;
     std::uint64_t after = 0; ///< the sender's end before these records
     RecordsAnswer records;
 
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include "context.h"
-#include "fleet_links.h"
-#include "fleet_state.h"
+#include "call_filler.h"
 
-#include <dispatch/dispatch.h>
 #include <stages/stages.h>
 
 #include <functional>
@@ -17,17 +14,6 @@
 namespace lacewing::gateway
 {
 
-/** A result and the endpoint that holds it. */
-struct HeldResult {
-    stages::ResultHandle handle;
-    EndpointId endpoint;
-};
-
-/** What became of a piece that was submitted. */
-struct PieceOutcome {
-    std::optional<HeldResult> result;
-    userplatform::PieceFailure failure = userplatform::PieceFailure::Failed; ///< if there is no result
-};
 using PieceCallback = std::function<void(std::size_t index, const PieceOutcome &outcome)>;
 
 /** Names the pieces that were submitted together; 0 is none. */
@@ -77,30 +63,28 @@
     std::size_t pending() const;
 
 private:
-    class Batcher;
     struct Open; ///< a submission of this VM
+    using OpenPtr = std::shared_ptr<Open>;
 
     std::string scopeOf(const routing::ServiceId &service);
     VmId chooseVm(const routing::ServiceId &service, const std::string &scope, const std::vector<VmId> &tried) const;
-    Batcher &batcher(const routing::ServiceId &service, const std::string &scope);
-    void place(const std::shared_ptr<Open> &open);
-    void placeHere(const std::shared_ptr<Open> &open);
-    void placeAt(const std::shared_ptr<Open> &open, const VmId &vm);
-    void placeAgain(const std::shared_ptr<Open> &open, const VmId &failed, const Error &error);
-    void finish(const std::shared_ptr<Open> &open, std::size_t index, const PieceOutcome &outcome);
+    CallFiller &filler(const routing::ServiceId &service, const std::string &scope);
+    bool isLost(const VmId &vm) const;
+    void place(const OpenPtr &open);
+    void placeHere(const OpenPtr &open);
+    void placeAt(const OpenPtr &open, const VmId &vm);
+    void placeAgain(const OpenPtr &open, const VmId &failed, const Error &error);
+    void finish(const OpenPtr &open, std::size_t index, const PieceOutcome &outcome);
 
     Context &context_;
     FleetLinks &links_;
     FleetState &state_;
-    net::HttpClient client_;
-    std::map<std::pair<routing::ServiceId, std::string>, std::unique_ptr<Batcher>> batchers_;
-    std::unordered_map<Submission, std::shared_ptr<Open>> open_;
+    FillerShared shared_;
+    std::map<std::pair<routing::ServiceId, std::string>, std::unique_ptr<CallFiller>> fillers_;
+    std::unordered_map<Submission, OpenPtr> open_;
     stages::PathAdmission admission_;
     std::uint64_t lastSubmission_ = 0;
     std::uint64_t lastTicket_ = 0;
-    telemetry::Counter calls_;
-    telemetry::Counter pieces_;
-    telemetry::Histogram fullness_;
 };
 
 } // namespace lacewing::gateway
