routing: endpoints of a service are indexed, not sorted for each request

Cause: EndpointDirectory::serving() walked all registrations, copied and sorted, and is asked two to four times for each request, while registrations change a few times a minute. Ruled out: an index in the gateway; the directory alone knows when it changes. Change: serving() gives a list that is rebuilt when the revision differs. Same endpoints in the same order. The saving was not measured by itself.

--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -206,8 +206,8 @@
     /** When expire() next has something to do. */
     std::optional<Time> nextExpiry() const noexcept;
 
-    /** Endpoints of a service that may be given work. */
-    std::vector<const EndpointEntry *> serving(const ServiceId &service) const;
+    /** Endpoints of a service that may be given work, by id. Valid until the directory changes. */
+    const std::vector<const EndpointEntry *> &serving(const ServiceId &service) const;
     /** Null unless the endpoint may be given work. */
     const EndpointEntry *find(const EndpointId &id) const;
     std::size_t size() const noexcept;
@@ -230,12 +230,16 @@
     };
 
     bool lapsedByOutage(Time now) const noexcept;
+    void index() const;
 
     Duration settleTime_;
     bool lost_ = false;
     std::optional<Time> backAt_;
     std::uint64_t revision_ = 1;
     std::unordered_map<EndpointId, Record> records_;
+    /** What serving() gives, as of indexedRevision_; asked for with every request, while entries change seldom. */
+    mutable std::unordered_map<ServiceId, std::vector<const EndpointEntry *>> servingByService_;
+    mutable std::uint64_t indexedRevision_ = 0;
 };
 
 } // namespace lacewing::routing
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -116,16 +116,28 @@
     return next == Time::max() ? std::nullopt : next;
 }
 
-std::vector<const EndpointEntry *> EndpointDirectory::serving(const ServiceId &service) const
+const std::vector<const EndpointEntry *> &EndpointDirectory::serving(const ServiceId &service) const
 {
-    std::vector<const EndpointEntry *> result;
+    static const std::vector<const EndpointEntry *> none;
+    if (indexedRevision_ != revision_) {
+        index();
+    }
+    const auto found = servingByService_.find(service);
+    return found == servingByService_.end() ? none : found->second;
+}
+
+void EndpointDirectory::index() const
+{
+    servingByService_.clear();
     for (const auto &[id, record] : records_) {
-        if (record.isServing() && record.entry.service == service) {
-            result.push_back(&record.entry);
+        if (record.isServing()) {
+            servingByService_[record.entry.service].push_back(&record.entry);
         }
     }
-    std::sort(result.begin(), result.end(), [](const auto *a, const auto *b) { return a->id < b->id; });
-    return result;
+    for (auto &[service, entries] : servingByService_) {
+        std::sort(entries.begin(), entries.end(), [](const auto *a, const auto *b) { return a->id < b->id; });
+    }
+    indexedRevision_ = revision_;
 }
 
 const EndpointEntry *EndpointDirectory::find(const EndpointId &id) const
--- a/libs/routing/tests/endpoint_directory_test.cpp
+++ b/libs/routing/tests/endpoint_directory_test.cpp
@@ -114,3 +114,28 @@
     f.directory.update(entry("e", 2), start);
     cr_assert_eq(f.directory.serving(ServiceId("s")).size(), 1U);
 }
+
+/** The index of endpoints by service follows every change. */
+Test(endpointDirectory, servingFollowsEachChange)
+{
+    Fixture f;
+    const auto count = [&](const char *service) { return f.directory.serving(ServiceId(service)).size(); };
+    cr_assert_eq(count("s"), 0U);
+    f.directory.update(entry("b"), start);
+    f.directory.update(entry("a"), start);
+    cr_assert_eq(f.directory.serving(ServiceId("s")).front()->id, EndpointId("a"));
+    cr_assert_eq(count("s"), 2U);
+    auto moved = entry("b", 2);
+    moved.service = ServiceId("t");
+    f.directory.update(moved, start);
+    cr_assert_eq(count("s"), 1U);
+    cr_assert_eq(count("t"), 1U);
+    f.directory.update(entry("a", 1, Readiness::Leaving), start);
+    cr_assert_eq(count("s"), 0U);
+    f.directory.registryLost(start);
+    f.directory.remove(EndpointId("b"), start);
+    f.directory.registryBack(start);
+    cr_assert_eq(count("t"), 1U);
+    f.directory.expire(start + 2s);
+    cr_assert_eq(count("t"), 0U);
+}
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -260,7 +260,7 @@
 std::string PieceService::scopeOf(const routing::ServiceId &service)
 {
     std::set<std::string> zones;
-    const auto serving = state_.endpoints().serving(service);
+    const auto &serving = state_.endpoints().serving(service);
     std::size_t own = 0;
     for (const auto *entry : serving) {
         zones.insert(entry->zone.text());
