One macro ties a struct's fields for the codec; the two mains share reading a file and a seed

Ruled out: a macro for each library, as their order lets base hold it for all. Conclusion: no change of behaviour; one place to change how messages are encoded.

--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -374,6 +375,20 @@
  */
 std::vector<std::size_t> rendezvous(std::string_view key, std::span<const std::string> candidates, std::size_t count);
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Helpers
+
+/** Gives a struct members() that tie the named fields in this order, for the codec of wire. */
+#define LACEWING_MEMBERS(...) \
+    auto members() noexcept \
+    { \
+        return std::tie(__VA_ARGS__); \
+    } \
+    auto members() const noexcept \
+    { \
+        return std::tie(__VA_ARGS__); \
+    }
+
 /** Joins the parts of a variant's visitor. */
 template <typename... Functions>
 struct Overloaded : Functions... {
--- a/libs/config/include/config/config.h
+++ b/libs/config/include/config/config.h
@@ -37,14 +37,7 @@
     bool repeatable = true; ///< false: a call may not be made twice
 
     bool operator==(const StageSpec &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(name, kind, pool, model, repeatable);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(name, kind, pool, model, repeatable);
-    }
+    LACEWING_MEMBERS(name, kind, pool, model, repeatable)
 };
 
 /** Stages that run one after the other, each fed with the result of the one before. */
@@ -53,14 +46,7 @@
     std::vector<StageSpec> stages; ///< 1 to maxStages
 
     bool operator==(const PipelineSpec &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, stages);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, stages);
-    }
+    LACEWING_MEMBERS(id, stages)
 };
 
 /** A class of work: its pipeline and the operators' targets for it. */
@@ -74,14 +60,7 @@
     std::optional<Duration> tokenGap; ///< for streams: between tokens, within this
 
     bool operator==(const ClassSpec &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, pipeline, completion, share, cost, firstToken, tokenGap);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, pipeline, completion, share, cost, firstToken, tokenGap);
-    }
+    LACEWING_MEMBERS(id, pipeline, completion, share, cost, firstToken, tokenGap)
 };
 
 /** A customer, and the token its callers show. */
@@ -90,14 +69,7 @@
     std::string callerTokenHash; ///< SHA-256 in hexadecimal of the callers' bearer token; empty: no token asked
 
     bool operator==(const WorkspaceSpec &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, callerTokenHash);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, callerTokenHash);
-    }
+    LACEWING_MEMBERS(id, callerTokenHash)
 };
 
 /** Traits that all endpoints of a pool share. Addresses come from the platform's list, never from here. */
@@ -109,14 +81,7 @@
     Cost costPerSecond; ///< price of one busy endpoint slot for a second; 0 or more
 
     bool operator==(const PoolSpec &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, kind, honoursFencing, resumable, costPerSecond);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, kind, honoursFencing, resumable, costPerSecond);
-    }
+    LACEWING_MEMBERS(id, kind, honoursFencing, resumable, costPerSecond)
 };
 
 /** A model that engines can load. */
@@ -125,14 +90,7 @@
     Bytes weights; ///< size to fetch from the weight store
 
     bool operator==(const ModelSpec &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, weights);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, weights);
-    }
+    LACEWING_MEMBERS(id, weights)
 };
 
 /** One independently versioned part of the configuration. */
@@ -161,14 +119,7 @@
     ConfigVersion base; ///< version of the item that the change was made against; 0 for a new item
 
     bool operator==(const Change &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, by, key, item, base);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, by, key, item, base);
-    }
+    LACEWING_MEMBERS(id, by, key, item, base)
 };
 
 /** An item with the version that set it; a tombstone when it was removed. */
@@ -178,14 +129,7 @@
     std::optional<Item> item; ///< empty: removed
 
     bool operator==(const VersionedItem &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(key, version, item);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(key, version, item);
-    }
+    LACEWING_MEMBERS(key, version, item)
 };
 
 /** All items together, as traffic sees them. Immutable once published. */
@@ -225,14 +169,7 @@
     std::optional<ErrorKind> rejected; ///< empty: accepted; Conflict: the item had changed since the named base
 
     bool operator==(const ChangeResult &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(id, key, by, version, current, rejected);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(id, key, by, version, current, rejected);
-    }
+    LACEWING_MEMBERS(id, key, by, version, current, rejected)
 };
 
 /** One of the records that together hold the whole state as of one version. */
@@ -246,14 +183,7 @@
     std::vector<ChangeResult> results; ///< in part 0: the latest results, so that copies of a change are recognised
 
     bool operator==(const SnapshotPart &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(asOf, tombstoneFloor, retainedFrom, part, parts, items, results);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(asOf, tombstoneFloor, retainedFrom, part, parts, items, results);
-    }
+    LACEWING_MEMBERS(asOf, tombstoneFloor, retainedFrom, part, parts, items, results)
 };
 
 /** Largest number of items in one SnapshotPart. */
@@ -282,14 +212,7 @@
     std::vector<ChangeResult> results; ///< the latest results that the sender knows in this range
 
     bool operator==(const Update &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(after, upTo, tombstoneFloor, items, results);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(after, upTo, tombstoneFloor, items, results);
-    }
+    LACEWING_MEMBERS(after, upTo, tombstoneFloor, items, results)
 };
 
 /** What merge() did with an Update. */
--- a/libs/core/include/core/core.h
+++ b/libs/core/include/core/core.h
@@ -438,14 +438,7 @@
     std::uint32_t coming = 0;
 
     bool operator==(const PoolHint &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(pool, work, inFlight, coming);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(pool, work, inFlight, coming);
-    }
+    LACEWING_MEMBERS(pool, work, inFlight, coming)
 };
 
 /** Offered load of some VMs, on its way to or from the VM that sums it up for a zone. */
@@ -458,14 +451,7 @@
     std::vector<std::pair<WorkspaceId, double>> heavy; ///< heaviest first, with their shares
 
     bool operator==(const HintShare &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(total, zone, vm, policies, arrivals, heavy);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(total, zone, vm, policies, arrivals, heavy);
-    }
+    LACEWING_MEMBERS(total, zone, vm, policies, arrivals, heavy)
 };
 
 /** Every message between the control parts of two VMs. */
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -26,17 +26,6 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Facts
 
-/** Ties the fields of a struct for the codec. */
-#define LACEWING_FLEET_MEMBERS(...) \
-    auto members() noexcept \
-    { \
-        return std::tie(__VA_ARGS__); \
-    } \
-    auto members() const noexcept \
-    { \
-        return std::tie(__VA_ARGS__); \
-    }
-
 /** What a VM is believed to be. */
 enum class MemberState : std::uint8_t {
     Alive, ///< answers, or is believed to
@@ -61,7 +50,7 @@
     WallTime changedAt; ///< when the state was set
 
     bool operator==(const Member &) const = default;
-    LACEWING_FLEET_MEMBERS(vm, region, zone, address, incarnation, startedAt, epoch, state, changedAt)
+    LACEWING_MEMBERS(vm, region, zone, address, incarnation, startedAt, epoch, state, changedAt)
 };
 
 /** An endpoint's incarnation takes no new work any more. Never withdrawn. */
@@ -71,7 +60,7 @@
     WallTime at;
 
     bool operator==(const EndpointLeaving &) const = default;
-    LACEWING_FLEET_MEMBERS(endpoint, incarnation, at)
+    LACEWING_MEMBERS(endpoint, incarnation, at)
 };
 
 /** A marked endpoint runs again under a new incarnation; tells VMs that don't poll it. The latest wins. */
@@ -81,7 +70,7 @@
     WallTime at;
 
     bool operator==(const EndpointStarted &) const = default;
-    LACEWING_FLEET_MEMBERS(endpoint, incarnation, at)
+    LACEWING_MEMBERS(endpoint, incarnation, at)
 };
 
 /** An entry VM's incarnation takes no new work any more. Never withdrawn. */
@@ -91,7 +80,7 @@
     WallTime at;
 
     bool operator==(const VmLeaving &) const = default;
-    LACEWING_FLEET_MEMBERS(vm, incarnation, at)
+    LACEWING_MEMBERS(vm, incarnation, at)
 };
 
 /** A request was running on an endpoint's incarnation when that crashed. One fact for each request and crash. */
@@ -104,7 +93,7 @@
     bool cleared = false; ///< a later run of the request alone finished, or an operator lifted the quarantine
 
     bool operator==(const CrashMark &) const = default;
-    LACEWING_FLEET_MEMBERS(fingerprint, pool, endpoint, incarnation, at, cleared)
+    LACEWING_MEMBERS(fingerprint, pool, endpoint, incarnation, at, cleared)
 };
 
 /** An accepted change of one configuration item. The highest version wins. */
@@ -115,7 +104,7 @@
     WallTime at; ///< when the change was appended to the log
 
     bool operator==(const ConfigFact &) const = default;
-    LACEWING_FLEET_MEMBERS(item, change, by, at)
+    LACEWING_MEMBERS(item, change, by, at)
 };
 
 /** A change that every VM rejects by the same rule; kept for a while so that its operator can be told anywhere. */
@@ -126,7 +115,7 @@
     WallTime at;
 
     bool operator==(const ConfigRejection &) const = default;
-    LACEWING_FLEET_MEMBERS(change, version, reason, at)
+    LACEWING_MEMBERS(change, version, reason, at)
 };
 
 /** How far one of a zone's configuration readers has read the log. Refreshed while it can read; zone-local. */
@@ -137,7 +126,7 @@
     VmId reader;
 
     bool operator==(const ConfigFrontier &) const = default;
-    LACEWING_FLEET_MEMBERS(zone, next, readAt, reader)
+    LACEWING_MEMBERS(zone, next, readAt, reader)
 };
 
 /** Most workspaces that one VM or zone names as heavy. */
@@ -149,7 +138,7 @@
     std::uint32_t slotMilliseconds = 0; ///< endpoint slots in use times time, per second
 
     bool operator==(const WorkspaceUsage &) const = default;
-    LACEWING_FLEET_MEMBERS(workspace, slotMilliseconds)
+    LACEWING_MEMBERS(workspace, slotMilliseconds)
 };
 
 /** Load of one pool's endpoints within one zone. */
@@ -161,7 +150,7 @@
     std::uint32_t queued = 0;
 
     bool operator==(const PoolLoad &) const = default;
-    LACEWING_FLEET_MEMBERS(pool, endpoints, slots, running, queued)
+    LACEWING_MEMBERS(pool, endpoints, slots, running, queued)
 };
 
 /** Summary of one zone for the other zones: its pools and its heaviest workspaces. */
@@ -172,7 +161,7 @@
     std::vector<WorkspaceUsage> heavy; ///< at most maxHeavyWorkspaces, heaviest first
 
     bool operator==(const ZoneLoad &) const = default;
-    LACEWING_FLEET_MEMBERS(zone, at, pools, heavy)
+    LACEWING_MEMBERS(zone, at, pools, heavy)
 };
 
 /** What VMs tell each other. Merging two facts with the same key is idempotent and needs no order. */
@@ -212,7 +201,7 @@
     Duration age {}; ///< time since the endpoint measured it
 
     bool operator==(const EndpointLoad &) const = default;
-    LACEWING_FLEET_MEMBERS(
+    LACEWING_MEMBERS(
         endpoint, incarnation, reachable, leaving, slots, running, queued, queuedTokens, cachePerMille, age)
 };
 
@@ -226,7 +215,7 @@
     std::uint32_t epoch = 0;
 
     bool operator==(const Sender &) const = default;
-    LACEWING_FLEET_MEMBERS(vm, incarnation, epoch)
+    LACEWING_MEMBERS(vm, incarnation, epoch)
 };
 
 /** Asks a VM whether it is alive. */
@@ -237,7 +226,7 @@
     std::vector<Member> updates; ///< recent changes of membership
 
     bool operator==(const Probe &) const = default;
-    LACEWING_FLEET_MEMBERS(from, sequence, digest, updates)
+    LACEWING_MEMBERS(from, sequence, digest, updates)
 };
 
 /** Asks a VM to probe another one that didn't answer the sender. */
@@ -248,7 +237,7 @@
     std::vector<Member> updates;
 
     bool operator==(const ProbeRequest &) const = default;
-    LACEWING_FLEET_MEMBERS(from, sequence, target, updates)
+    LACEWING_MEMBERS(from, sequence, target, updates)
 };
 
 /** Answers a Probe, or passes on the answer to a probe that was made for another VM. */
@@ -260,7 +249,7 @@
     std::vector<Member> updates;
 
     bool operator==(const ProbeAck &) const = default;
-    LACEWING_FLEET_MEMBERS(from, sequence, about, digest, updates)
+    LACEWING_MEMBERS(from, sequence, about, digest, updates)
 };
 
 /** Makes the sender known to a VM, and asks that VM to make itself known. */
@@ -270,7 +259,7 @@
     bool answer = false; ///< true: answers a Join, and isn't answered
 
     bool operator==(const Join &) const = default;
-    LACEWING_FLEET_MEMBERS(from, self, answer)
+    LACEWING_MEMBERS(from, self, answer)
 };
 
 /** Passes on facts. */
@@ -281,7 +270,7 @@
     std::vector<Fact> facts;
 
     bool operator==(const FactPush &) const = default;
-    LACEWING_FLEET_MEMBERS(from, hop, abroad, facts)
+    LACEWING_MEMBERS(from, hop, abroad, facts)
 };
 
 /** Number of groups into which the keys of lasting facts are hashed for comparison. */
@@ -293,7 +282,7 @@
     std::vector<std::uint64_t> buckets; ///< digestBuckets of them
 
     bool operator==(const BucketDigest &) const = default;
-    LACEWING_FLEET_MEMBERS(from, buckets)
+    LACEWING_MEMBERS(from, buckets)
 };
 
 /** Key and version of one fact that the sender holds. */
@@ -302,7 +291,7 @@
     FactStamp stamp;
 
     auto operator<=>(const FactName &) const = default;
-    LACEWING_FLEET_MEMBERS(key, stamp)
+    LACEWING_MEMBERS(key, stamp)
 };
 
 /** Names facts that the sender holds; the receiver asks for those that it lacks. */
@@ -314,7 +303,7 @@
     std::vector<FactName> names;
 
     bool operator==(const FactNames &) const = default;
-    LACEWING_FLEET_MEMBERS(from, hop, abroad, buckets, names)
+    LACEWING_MEMBERS(from, hop, abroad, buckets, names)
 };
 
 /** Asks for facts by key. */
@@ -325,7 +314,7 @@
     std::vector<FactKey> keys;
 
     bool operator==(const FactRequest &) const = default;
-    LACEWING_FLEET_MEMBERS(from, hop, abroad, keys)
+    LACEWING_MEMBERS(from, hop, abroad, keys)
 };
 
 /** Asks for all lasting facts, part by part. */
@@ -334,7 +323,7 @@
     FactKey after; ///< facts with higher keys are wanted
 
     bool operator==(const StateRequest &) const = default;
-    LACEWING_FLEET_MEMBERS(from, after)
+    LACEWING_MEMBERS(from, after)
 };
 
 /** Answers a StateRequest with the facts that follow, in order of their keys. */
@@ -346,7 +335,7 @@
     std::vector<Fact> facts;
 
     bool operator==(const StatePart &) const = default;
-    LACEWING_FLEET_MEMBERS(from, after, last, complete, facts)
+    LACEWING_MEMBERS(from, after, last, complete, facts)
 };
 
 /** A watcher's reports and the sender's heaviest workspaces, to all VMs of its zone. */
@@ -356,7 +345,7 @@
     std::vector<WorkspaceUsage> heavy; ///< at most maxHeavyWorkspaces
 
     bool operator==(const LoadShare &) const = default;
-    LACEWING_FLEET_MEMBERS(from, endpoints, heavy)
+    LACEWING_MEMBERS(from, endpoints, heavy)
 };
 
 /** Why a suspect may not run now. */
@@ -380,7 +369,7 @@
     EndpointId endpoint;
 
     bool operator==(const PermitRequest &) const = default;
-    LACEWING_FLEET_MEMBERS(from, fingerprint, pool, endpoint)
+    LACEWING_MEMBERS(from, fingerprint, pool, endpoint)
 };
 
 /** Answers a PermitRequest. */
@@ -392,7 +381,7 @@
     PermitRefusal refusal = PermitRefusal::None;
 
     bool operator==(const PermitAnswer &) const = default;
-    LACEWING_FLEET_MEMBERS(from, fingerprint, pool, endpoint, refusal)
+    LACEWING_MEMBERS(from, fingerprint, pool, endpoint, refusal)
 };
 
 /** Gives a permit back. */
@@ -403,7 +392,7 @@
     EndpointId endpoint;
 
     bool operator==(const PermitRelease &) const = default;
-    LACEWING_FLEET_MEMBERS(from, fingerprint, pool, endpoint)
+    LACEWING_MEMBERS(from, fingerprint, pool, endpoint)
 };
 
 using PeerMessage = std::variant<Probe,
@@ -421,8 +410,6 @@
                                  PermitAnswer,
                                  PermitRelease>;
 
-#undef LACEWING_FLEET_MEMBERS
-
 // ---------------------------------------------------------------------------------------------------------------------
 // Events and effects
 
@@ -792,6 +779,4 @@
     std::unique_ptr<State> state_;
 };
 
-#undef LACEWING_FLEET_MEMBERS
-
 } // namespace lacewing::fleet
--- a/libs/ledger/include/ledger/ledger.h
+++ b/libs/ledger/include/ledger/ledger.h
@@ -46,14 +46,7 @@
     std::uint64_t low = 0;
 
     auto operator<=>(const KeyDigest &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(high, low);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(high, low);
-    }
+    LACEWING_MEMBERS(high, low)
 };
 
 /** The digest of a caller's key within its workspace. */
@@ -83,14 +76,7 @@
     JobId job; ///< its job; the owner is the VM's incarnation
 
     bool operator==(const ClaimRequest &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(kind, key, keyTime, fingerprint, vm, job);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(kind, key, keyTime, fingerprint, vm, job);
-    }
+    LACEWING_MEMBERS(kind, key, keyTime, fingerprint, vm, job)
 };
 
 /** Says what a writer read in the log: the first valid record of a key. */
@@ -99,14 +85,7 @@
     ClaimRequest first; ///< the record that decides
 
     bool operator==(const ClaimReply &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(job, first);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job, first);
-    }
+    LACEWING_MEMBERS(job, first)
 };
 
 /** Says that a request can't be settled by this writer. */
@@ -115,14 +94,7 @@
     ErrorKind kind = ErrorKind::Unavailable; ///< Unavailable: no log here; Expired: the key's time is too old or ahead
 
     bool operator==(const ClaimRefusal &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(job, kind);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job, kind);
-    }
+    LACEWING_MEMBERS(job, kind)
 };
 
 /** Messages about claims between VMs. */
@@ -441,14 +413,7 @@
     Cost cost; ///< 0 or more
 
     bool operator==(const Charge &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(job, stage, workspace, workClass, cost);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job, stage, workspace, workClass, cost);
-    }
+    LACEWING_MEMBERS(job, stage, workspace, workClass, cost)
 };
 
 /** Name of the log stream of charges. */
@@ -555,14 +520,7 @@
     VmId vm; ///< the VM that saw or did it
 
     bool operator==(const AuditEntry &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(at, who, what, subject, from, to, vm);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(at, who, what, subject, from, to, vm);
-    }
+    LACEWING_MEMBERS(at, who, what, subject, from, to, vm)
 };
 
 /** Writes the audit trail to the log in batches; bounded in memory, oldest first to go. Not thread-safe. */
--- a/libs/ledger/src/batch_writer.h
+++ b/libs/ledger/src/batch_writer.h
@@ -18,14 +18,7 @@
     std::uint64_t dropped = 0; ///< entries that this writer dropped up to now
     std::vector<Entry> entries;
 
-    auto members() noexcept
-    {
-        return std::tie(vm, incarnation, number, dropped, entries);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(vm, incarnation, number, dropped, entries);
-    }
+    LACEWING_MEMBERS(vm, incarnation, number, dropped, entries)
 };
 
 /**
--- a/libs/ledger/src/lease_table.h
+++ b/libs/ledger/src/lease_table.h
@@ -18,14 +18,7 @@
     LogOffset previous; ///< the last accepted record of the lease, as its writer had read; 0: none
     FencingNumber fencing; ///< of the lease that is renewed or released
 
-    auto members() noexcept
-    {
-        return std::tie(action, name, vm, incarnation, number, previous, fencing);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(action, name, vm, incarnation, number, previous, fencing);
-    }
+    LACEWING_MEMBERS(action, name, vm, incarnation, number, previous, fencing)
 };
 
 /** Decides which lease records are accepted, by the order of the log alone. */
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -127,6 +127,12 @@
  */
 Result<Settings> parse(std::string_view toml, std::string_view fileName);
 
+/** Reads a file whole. Fails with Io. */
+Result<std::string> readFile(const std::string &path);
+
+/** A seed that differs from process to process. */
+std::uint64_t randomSeed();
+
 /** Every key that parse() knows, such as "vm.name", in the order of the page for operators. */
 std::vector<std::string> knownKeys();
 
--- a/libs/wire/fuzz/sample.h
+++ b/libs/wire/fuzz/sample.h
@@ -15,14 +15,7 @@
     std::int32_t number = -7;
 
     bool operator==(const Inner &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(text, number);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(text, number);
-    }
+    LACEWING_MEMBERS(text, number)
 };
 
 /** An older version of Inner. */
@@ -30,14 +23,7 @@
     std::string text;
 
     bool operator==(const OldInner &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(text);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(text);
-    }
+    LACEWING_MEMBERS(text)
 };
 
 using Choice = std::variant<std::monostate, Inner, std::vector<std::uint16_t>>;
@@ -62,46 +48,23 @@
     std::array<std::uint32_t, 3> array {};
 
     bool operator==(const Everything &) const = default;
-    auto members() noexcept
-    {
-        return std::tie(flag,
-                        small,
-                        large,
-                        real,
-                        colour,
-                        bytes,
-                        vm,
-                        cost,
-                        duration,
-                        time,
-                        wallTime,
-                        call,
-                        inner,
-                        pair,
-                        choices,
-                        map,
-                        array);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(flag,
-                        small,
-                        large,
-                        real,
-                        colour,
-                        bytes,
-                        vm,
-                        cost,
-                        duration,
-                        time,
-                        wallTime,
-                        call,
-                        inner,
-                        pair,
-                        choices,
-                        map,
-                        array);
-    }
+    LACEWING_MEMBERS(flag,
+                     small,
+                     large,
+                     real,
+                     colour,
+                     bytes,
+                     vm,
+                     cost,
+                     duration,
+                     time,
+                     wallTime,
+                     call,
+                     inner,
+                     pair,
+                     choices,
+                     map,
+                     array)
 };
 
 /** Aborts unless input that decodes is written and read back to the same bytes. @return whether it decoded */
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -28,17 +28,6 @@
 namespace lacewing::wire
 {
 
-/** Gives a struct members() that tie the named fields in this order. */
-#define LACEWING_MEMBERS(...) \
-    auto members() noexcept \
-    { \
-        return std::tie(__VA_ARGS__); \
-    } \
-    auto members() const noexcept \
-    { \
-        return std::tie(__VA_ARGS__); \
-    }
-
 /** Bounds on one encoded value. */
 struct Limits {
     std::size_t bytes = std::size_t(16) << 20U; ///< length of the input
--- a/tools/gateway/src/main.cpp
+++ b/tools/gateway/src/main.cpp
@@ -5,10 +5,7 @@
 
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <random>
-#include <sstream>
 
 DEFINE_string(settings, "", "path of this VM's settings; by default the platform's variable names it");
 DEFINE_bool(check, false, "check the settings and end");
@@ -22,24 +19,6 @@
 constexpr int exitSettings = 3;
 constexpr int exitListen = 4;
 
-Result<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return failure(ErrorKind::Io, path + ": can't be read");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-std::uint64_t randomSeed()
-{
-    constexpr unsigned int halfBits = 32;
-    std::random_device device;
-    return (std::uint64_t(device()) << halfBits) | device();
-}
-
 int fail(int code, const Error &error)
 {
     std::cerr << "lacewing-gateway: " << toText(error.kind) << ": " << error.detail << '\n';
@@ -48,7 +27,7 @@
 
 Result<userplatform::VmSettings> readSettings(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(text, readFile(path));
+    BOOST_OUTCOME_TRY(text, settings::readFile(path));
     return userplatform::parseSettings(text, path);
 }
 
@@ -79,7 +58,7 @@
     }
     telemetry::Metrics metrics;
     net::EventLoop loop;
-    const std::uint64_t seed = randomSeed();
+    const std::uint64_t seed = settings::randomSeed();
     Context context { loop, settings.value(), *logger.value(), metrics, Incarnation(seed | 1U) };
     Gateway gateway(context, seed);
     if (const auto listening = gateway.listen(); !listening) {
--- a/tools/lacewingctl/src/commands.cpp
+++ b/tools/lacewingctl/src/commands.cpp
@@ -1,8 +1,6 @@
 #include "commands.h"
 
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 
 namespace lacewing::ctl
 {
@@ -55,15 +53,4 @@
     return ExitCode::Refused;
 }
 
-Result<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return failure(ErrorKind::Io, path + ": can't be read");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 } // namespace lacewing::ctl
--- a/tools/lacewingctl/src/commands.h
+++ b/tools/lacewingctl/src/commands.h
@@ -75,7 +75,4 @@
     }
     return ExitCode::Done;
 }
-/** Reads a file whole. Fails with Io. */
-Result<std::string> readFile(const std::string &path);
-
 } // namespace lacewing::ctl
--- a/tools/lacewingctl/src/configuration_commands.cpp
+++ b/tools/lacewingctl/src/configuration_commands.cpp
@@ -32,7 +32,7 @@
 
 Result<std::vector<config::Item>> readItems(const std::string &path)
 {
-    const auto text = readFile(path);
+    const auto text = settings::readFile(path);
     if (!text) {
         return boost::outcome_v2::failure(text.error());
     }
@@ -174,7 +174,7 @@
 ExitCode runCheck(const CommandOptions & /*options*/, const std::vector<std::string> &arguments)
 {
     const std::string &path = arguments[0];
-    const auto text = readFile(path);
+    const auto text = settings::readFile(path);
     if (!text) {
         return reportInvalid(text.error());
     }
--- a/tools/lacewingctl/src/main.cpp
+++ b/tools/lacewingctl/src/main.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include <settings/settings.h>
+
 #include <gflags/gflags.h>
 
 #include <cstdio>
@@ -46,7 +48,7 @@
     options.wait = FLAGS_wait;
     options.prune = FLAGS_prune;
     if (!FLAGS_token_file.empty()) {
-        auto token = readFile(FLAGS_token_file);
+        auto token = settings::readFile(FLAGS_token_file);
         if (!token) {
             return boost::outcome_v2::failure(token.error());
         }
--- a/tools/lacewingfalld/src/main.cpp
+++ b/tools/lacewingfalld/src/main.cpp
@@ -3,10 +3,7 @@
 #include <boost/outcome/try.hpp>
 #include <gflags/gflags.h>
 
-#include <fstream>
 #include <iostream>
-#include <random>
-#include <sstream>
 
 DEFINE_string(settings, "", "path of this VM's settings in TOML");
 DEFINE_bool(check, false, "check the settings and end");
@@ -20,17 +17,6 @@
 constexpr int exitSettings = 3;
 constexpr int exitListen = 4;
 
-Result<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return failure(ErrorKind::Io, path + ": can't be read");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::string trimmed(std::string text)
 {
     while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' ')) {
@@ -39,26 +25,20 @@
     return text;
 }
 
-std::uint64_t randomSeed()
-{
-    constexpr unsigned int halfBits = 32;
-    std::random_device device;
-    return (std::uint64_t(device()) << halfBits) | device();
-}
-
 Result<DaemonContext> readContext(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(text, readFile(path));
+    BOOST_OUTCOME_TRY(text, settings::readFile(path));
     DaemonContext context;
     BOOST_OUTCOME_TRY(parsed, settings::parse(text, path));
     context.settings = std::move(parsed);
     context.operatorToken = context.settings.operators.token;
     if (context.operatorToken.empty()) {
-        BOOST_OUTCOME_TRY(token, readFile(context.settings.operators.tokenFile));
+        BOOST_OUTCOME_TRY(token, settings::readFile(context.settings.operators.tokenFile));
         context.operatorToken = trimmed(token);
     }
-    context.seed = context.settings.seed.value_or(randomSeed());
-    const std::uint64_t incarnation = context.settings.seed ? hashBytes("incarnation", context.seed) : randomSeed();
+    context.seed = context.settings.seed.value_or(settings::randomSeed());
+    const std::uint64_t incarnation =
+        context.settings.seed ? hashBytes("incarnation", context.seed) : settings::randomSeed();
     context.incarnation = Incarnation(incarnation == 0 ? 1 : incarnation);
     return context;
 }
--- a/tools/lacewingfalld/src/peer_calls.h
+++ b/tools/lacewingfalld/src/peer_calls.h
@@ -16,40 +16,19 @@
     JobId job;
     ByteOffset from;
 
-    auto members() noexcept
-    {
-        return std::tie(job, from);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job, from);
-    }
+    LACEWING_MEMBERS(job, from)
 };
 /** Wants the state of a job. */
 struct StatusCall {
     JobId job;
 
-    auto members() noexcept
-    {
-        return std::tie(job);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job);
-    }
+    LACEWING_MEMBERS(job)
 };
 /** Gives up a job. */
 struct CancelJobCall {
     JobId job;
 
-    auto members() noexcept
-    {
-        return std::tie(job);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job);
-    }
+    LACEWING_MEMBERS(job)
 };
 /** Submits a request whose ticket names the receiver. */
 struct TicketCall {
@@ -61,27 +40,13 @@
     std::optional<Duration> timeout;
     std::string ticket;
 
-    auto members() noexcept
-    {
-        return std::tie(owner, workspace, jobClass, input, maxTokens, timeout, ticket);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(owner, workspace, jobClass, input, maxTokens, timeout, ticket);
-    }
+    LACEWING_MEMBERS(owner, workspace, jobClass, input, maxTokens, timeout, ticket)
 };
 /** Asks for the summary that operators see of a VM, as JSON. */
 struct VmStatusCall {
     std::uint8_t reserved = 0;
 
-    auto members() noexcept
-    {
-        return std::tie(reserved);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(reserved);
-    }
+    LACEWING_MEMBERS(reserved)
 };
 using PeerCall = std::variant<AttachCall, StatusCall, CancelJobCall, TicketCall, VmStatusCall>;
 
@@ -89,28 +54,14 @@
 struct AcceptedPiece {
     JobId job;
 
-    auto members() noexcept
-    {
-        return std::tie(job);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job);
-    }
+    LACEWING_MEMBERS(job)
 };
 /** Next bytes of the answer. */
 struct TextPiece {
     ByteOffset offset;
     std::string text;
 
-    auto members() noexcept
-    {
-        return std::tie(offset, text);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(offset, text);
-    }
+    LACEWING_MEMBERS(offset, text)
 };
 /** The request is refused; last piece. */
 struct RefusedPiece {
@@ -118,14 +69,7 @@
     Ran ran = Ran::Unknown;
     Duration retryAfter {};
 
-    auto members() noexcept
-    {
-        return std::tie(reason, ran, retryAfter);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(reason, ran, retryAfter);
-    }
+    LACEWING_MEMBERS(reason, ran, retryAfter)
 };
 /** How one stage went. */
 struct StagePiece {
@@ -137,14 +81,7 @@
     Duration wasted {};
     Cost cost;
 
-    auto members() noexcept
-    {
-        return std::tie(name, endpoint, attempts, elapsed, busy, wasted, cost);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(name, endpoint, attempts, elapsed, busy, wasted, cost);
-    }
+    LACEWING_MEMBERS(name, endpoint, attempts, elapsed, busy, wasted, cost)
 };
 /** The job ended; last piece. */
 struct FinishedPiece {
@@ -158,27 +95,13 @@
     ByteOffset answered;
     std::vector<StagePiece> stages;
 
-    auto members() noexcept
-    {
-        return std::tie(job, workspace, jobClass, completionTarget, elapsed, completed, failure, answered, stages);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(job, workspace, jobClass, completionTarget, elapsed, completed, failure, answered, stages);
-    }
+    LACEWING_MEMBERS(job, workspace, jobClass, completionTarget, elapsed, completed, failure, answered, stages)
 };
 /** State of a job or VM in JSON; last piece. */
 struct JsonPiece {
     std::string json;
 
-    auto members() noexcept
-    {
-        return std::tie(json);
-    }
-    auto members() const noexcept
-    {
-        return std::tie(json);
-    }
+    LACEWING_MEMBERS(json)
 };
 using PeerPiece = std::variant<AcceptedPiece, TextPiece, RefusedPiece, FinishedPiece, JsonPiece>;
 
