gateway: VMs of other zones hear seldom of a VM that does nothing for them

Cause: every VM told every other one four times a second that it is alive: 21,000 messages a second at 73 VMs, growing with the square of the fleet (docs/CAPACITY.md named it). BeaconPlan decides now: four a second within the zone, from VMs that fill calls or read the store, and in fleets of up to 16; one a second else, spread over the rounds. Ruled out: digests by one VM for each zone, which need an election and lose a zone's view with that VM.

--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -7,12 +7,6 @@
 namespace
 {
 
-/** Time between two beacons to a VM. */
-constexpr Duration beaconPeriod = 250ms;
-/** A VM that isn't heard for this time counts as gone: four beacons. */
-constexpr Duration silentAfter = 1000ms;
-/** A VM that isn't heard gets beacons only this often. */
-constexpr Duration silentBeaconPeriod = 1000ms;
 /** Silence of a link with calls after which it is probed, and the wait for the answer. */
 constexpr Duration pingAfter = 400ms;
 constexpr Duration pingDeadline = 400ms;
@@ -58,7 +52,7 @@
     auto listening = network_.listen({ context_.settings.ip, context_.settings.firstInternalPort });
     if (listening) {
         context_.loop.timers().every(
-            context_.now() + beaconPeriod, beaconPeriod, [this](Time now) { sendBeacons(now); });
+            context_.now() + BeaconPlan::roundTime, BeaconPlan::roundTime, [this](Time) { sendBeacons(); });
     }
     return listening;
 }
@@ -75,12 +69,13 @@
     }
     const bool isNew = !vms_.contains(vm);
     KnownVm &known = vms_[vm];
-    if (known.address != address) {
-        known.heardAt.reset();
-        known.sentAt = {};
-    }
+    const bool hasMoved = known.address != address;
     known.zone = zone;
     known.address = address;
+    if (hasMoved) {
+        known.heardAt.reset();
+        sendBeacon(known);
+    }
     if (isNew) {
         context_.logger.state("vm known", { { "vm", vm }, { "zone", zone }, { "address", address } });
     }
@@ -106,10 +101,10 @@
 void FleetLinks::leave()
 {
     own_.leaving = true;
-    for (auto &[id, vm] : vms_) {
-        vm.sentAt = {};
+    handlers_.fill(own_);
+    for (const auto &[id, vm] : vms_) {
+        sendBeacon(vm);
     }
-    sendBeacons(context_.now());
     checkMembers();
 }
 
@@ -137,15 +132,21 @@
 
 bool FleetLinks::isZoneHeard(const AvailabilityZoneId &zone) const
 {
-    bool anyKnown = zone == context_.settings.zone;
-    bool anyHeard = anyKnown;
+    if (zone == context_.settings.zone) {
+        return true;
+    }
+    bool anyKnown = false;
     for (const auto &[id, vm] : vms_) {
-        if (vm.zone == zone) {
-            anyKnown = true;
-            anyHeard = anyHeard || isLive(vm);
+        if (vm.zone != zone) {
+            continue;
+        }
+        anyKnown = true;
+        const Duration silence = BeaconPlan::zoneSilenceLimit(std::chrono::milliseconds(vm.beacon.periodMs));
+        if (vm.heardAt && context_.now() - *vm.heardAt < silence) {
+            return true;
         }
     }
-    return !anyKnown || anyHeard;
+    return !anyKnown;
 }
 
 const KnownVm *FleetLinks::find(const VmId &vm) const
@@ -193,23 +194,34 @@
 
 bool FleetLinks::isLive(const KnownVm &vm) const
 {
-    return vm.heardAt && context_.now() - *vm.heardAt < silentAfter;
+    const Duration silence = BeaconPlan::silenceLimit(std::chrono::milliseconds(vm.beacon.periodMs));
+    return vm.heardAt && context_.now() - *vm.heardAt < silence;
 }
 
-void FleetLinks::sendBeacons(Time now)
+BeaconLink FleetLinks::linkTo(const KnownVm &vm) const
+{
+    const bool hasDuties = own_.followsStore || !own_.loads.empty();
+    return { vm.zone == context_.settings.zone, isLive(vm), hasDuties, vms_.size() };
+}
+
+void FleetLinks::sendBeacons()
 {
     handlers_.fill(own_);
-    const std::string message = envelope(MessageKind::Beacon, own_);
-    for (auto &[id, vm] : vms_) {
-        const Duration period = isLive(vm) ? Duration::zero() : silentBeaconPeriod;
-        if (now - vm.sentAt >= period) {
-            vm.sentAt = now;
-            network_.send(vm.address, message);
+    ++round_;
+    for (const auto &[id, vm] : vms_) {
+        if (BeaconPlan::isTurn(linkTo(vm), round_, hashBytes(id.text()))) {
+            sendBeacon(vm);
         }
     }
     checkMembers();
 }
 
+void FleetLinks::sendBeacon(const KnownVm &vm)
+{
+    own_.periodMs = static_cast<std::uint32_t>(toMilliseconds(BeaconPlan::period(linkTo(vm))));
+    network_.send(vm.address, envelope(MessageKind::Beacon, own_));
+}
+
 void FleetLinks::takeMessage(const peer::PeerIdentity &from, const std::string &message)
 {
     const auto body = std::string_view(message).substr(message.empty() ? 0 : 1);
@@ -273,8 +285,7 @@
     vm.beacon = beacon;
     if (!wasLive) {
         context_.logger.state("vm heard", { { "vm", id }, { "zone", vm.zone } });
-        vm.sentAt = context_.now();
-        network_.send(vm.address, envelope(MessageKind::Beacon, own_));
+        sendBeacon(vm);
     }
     if (changed) {
         checkMembers();
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "beacon_plan.h"
 #include "context.h"
 #include "peer_messages.h"
 
@@ -18,7 +19,6 @@
     AvailabilityZoneId zone;
     std::string address; ///< of its links
     std::optional<Time> heardAt; ///< of its last beacon
-    Time sentAt; ///< last beacon to it
     Beacon beacon; ///< its last
 };
 
@@ -37,8 +37,9 @@
 /**
  * The other VMs: who is alive, and calls between them.
  *
- * Each VM tells all others every beaconPeriod that it is alive. One that isn't heard for silentAfter counts as gone
- * until it is heard again; nothing that must be right depends on this view.
+ * Each VM tells the others again and again that it is alive: those of its own zone often, those of other zones seldom
+ * unless it has a duty for them, such as reading the store. One from which some beacons in a row are missing counts as
+ * gone until it is heard again; nothing that must be right depends on this view.
  */
 class FleetLinks
 {
@@ -78,7 +79,9 @@
 
 private:
     bool isLive(const KnownVm &vm) const;
-    void sendBeacons(Time now);
+    BeaconLink linkTo(const KnownVm &vm) const;
+    void sendBeacons();
+    void sendBeacon(const KnownVm &vm);
     void takeMessage(const peer::PeerIdentity &from, const std::string &message);
     void takeCall(peer::PeerCallWriter answer, const std::string &request);
     void takeBeacon(const Beacon &beacon);
@@ -89,6 +92,7 @@
     peer::PeerNetwork network_;
     std::map<VmId, KnownVm> vms_;
     Beacon own_;
+    std::uint64_t round_ = 0; ///< of beacons
     std::vector<VmId> lastMembers_;
 };
 
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -20,13 +20,14 @@
     LACEWING_MEMBERS(service, scope, expectedMs)
 };
 
-/** Sent by each VM to all others, again and again: it is alive, and how far its view goes. */
+/** Sent by each VM to the others, again and again: it is alive, and how far its view goes. */
 struct Beacon {
     std::string vm;
     std::string zone;
     std::string address; ///< of its links
     std::uint64_t incarnation = 0;
     bool leaving = false;
+    std::uint32_t periodMs = 0; ///< until the receiver's next beacon from this VM
     std::uint64_t stateVersion = 0; ///< desired state in force there
     std::uint64_t operatorEnd = 0; ///< offset up to which it knows the operator's records
     std::uint64_t endpointsEnd = 0; ///< offset up to which it knows endpoints' registrations
@@ -34,8 +35,18 @@
     std::vector<std::uint64_t> refused; ///< fingerprints of requests that it refused since its last beacon
     bool followsStore = false; ///< it reads the store, and the store answers it
 
-    LACEWING_MEMBERS(
-        vm, zone, address, incarnation, leaving, stateVersion, operatorEnd, endpointsEnd, loads, refused, followsStore)
+    LACEWING_MEMBERS(vm,
+                     zone,
+                     address,
+                     incarnation,
+                     leaving,
+                     periodMs,
+                     stateVersion,
+                     operatorEnd,
+                     endpointsEnd,
+                     loads,
+                     refused,
+                     followsStore)
 };
 
 /** One piece in a call to the VM that fills the calls of its service. */
