--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -107,6 +109,7 @@
 struct PieceOrder {
     PieceTicket ticket;
     RequestId request;
+    routing::ServiceId service; ///< whose endpoints make it
     PieceIndex index;
     std::string key; ///< content of a piece without inputs
     std::vector<ResultHandle> inputs;
@@ -179,8 +182,18 @@
     /** A result was given up. @return its endpoint, empty if unknown */
     EndpointId resultReleased(const ResultHandle &handle);
 
-    /** Expected time until a piece added now would be made. */
-    Duration expectedTime(Time now) const;
+    /**
+     * When the last piece of some lines of pieces would be started, if nothing else went before it.
+     * @param counts lengths of the lines, in ascending order
+     * @return one time for each; Time::max() without an endpoint that can be used
+     */
+    std::vector<Time> startTimes(std::span<const std::size_t> counts, Time now) const;
+    /** Time of a call for so many waiting pieces, at a usual endpoint. */
+    Duration callTime(std::size_t waiting) const;
+    /** Mean time until an endpoint is free, for pieces that become ready at any moment at the present load. */
+    Duration turnTime(Time now) const;
+    /** Shows each waiting piece. */
+    void visitWaiting(const std::function<void(const PieceOrder &)> &visit) const;
     /** When takeCalls() or takeExpired() may next have something to do without any other event. */
     std::optional<Time> nextDue() const;
     std::size_t waiting() const noexcept
@@ -236,50 +249,145 @@
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
-// Admission of a whole path
+// Whole paths
 
-/** What decides who is refused first. */
+/** Names a group of endpoints whose calls one VM fills: those of one availability zone, or of all (empty). */
+using CellId = Name<struct CellIdTag>;
+
+/** One stage of a request, as its cell has to make it. */
+struct PathStep {
+    routing::ServiceId service;
+    std::uint32_t pieces = 0;
+    Time due; ///< made by then, the request can be on time
+    std::vector<std::uint32_t> after; ///< positions of the steps whose results it needs; all come before it
+};
+
+/** A request's stages, and what decides who is refused first. */
 struct PathRequest {
-    Duration elapsed {}; ///< since the request came
+    RequestId id;
+    Time receivedAt;
     Duration target {}; ///< in which it should be done
     Duration afterStages {}; ///< that its last step will take
     int rank = 0; ///< 0 is the most urgent
     double relativeWorth = 1; ///< credit for each piece, against the mean of its route
     bool isReturning = false; ///< it was refused before
+    std::vector<PathStep> steps; ///< one for each stage
 };
 
 /** Whether a request may begin. */
 struct PathDecision {
     bool admitted = true;
     Duration predicted {}; ///< until the stages would be done
-    Duration reportAge {}; ///< of the oldest report that was used
     Duration comeBackAfter {}; ///< if refused: when there should be room
+    std::size_t ahead = 0; ///< pieces that go before it, at the stage with most of them
+};
+
+/** How a service of a cell is doing. */
+struct ServiceWait {
+    routing::ServiceId service;
+    Duration wait {}; ///< until a piece would be started that comes after all that is promised
+    Duration call {}; ///< time of a call then
 };
 
 /**
- * Admits a request for all its stages or for none.
+ * Admits requests to a cell for all their stages or for none.
  *
- * Load pattern: bursts beyond what a stage can carry. Requests that can't be done in time would use up the first stages
- * and be late at the last, and make the others late too. What all stages together will take is predicted from what the
- * VMs tell of their queues; the longer it is against the target, the more is refused: the least urgent and least worthy
- * first, so that the queues settle where the others are on time.
+ * Load pattern: bursts beyond what a stage can carry. A queue tells nothing of the pieces that are still to come from
+ * earlier stages, so requests that look on time at their first stage all meet at the last one and are late there. Here
+ * each admitted request is a commitment for all its stages: a new one is admitted if its pieces, after all that is due
+ * before them, are still on time, and if all that is due later stays so. The longer the path takes against the target,
+ * the more is refused: the least urgent and least worthy first. Without queues nothing is refused, however long the
+ * path takes.
  */
-class PathAdmission
+class PathPlanner
 {
 public:
-    /** A VM tells how long a piece of a service takes there now, until it is made. */
-    void reported(const routing::ServiceId &service, Duration expected, Time now);
-    /** Time that a service's stage takes now; empty when nobody has told lately. */
-    std::optional<Duration> expected(const routing::ServiceId &service, Time now) const;
+    /** @param scheduler that fills the service's calls; outlives the planner */
+    void setScheduler(const routing::ServiceId &service, const BatchScheduler *scheduler);
+
+    PathDecision decide(const PathRequest &request, Time now) const;
+    /** Keeps what a request will need. */
+    void admit(const PathRequest &request, Time now);
+    /** The pieces of a stage have been handed to the scheduler. */
+    void stageReady(const RequestId &request, std::uint32_t stage);
+    /** All pieces of a request's last stages are made: shows how good the prediction was. */
+    void made(const RequestId &request, Time now);
+    /** Nothing more will come of a request. */
+    void ended(const RequestId &request);
+    /** Drops what should have come long ago. */
+    void expire(Time now);
+
+    /** How the services are doing, for the choice between cells. */
+    std::vector<ServiceWait> waits(Time now) const;
+    /** Requests with stages still to come. */
+    std::size_t commitments() const noexcept
+    {
+        return commitments_.size();
+    }
+
+private:
+    struct ServiceWork {
+        const BatchScheduler *scheduler = nullptr;
+        std::map<Time, std::size_t> coming; ///< pieces of later stages by when they are due
+    };
+    struct ComingStep {
+        std::uint32_t stage = 0;
+        routing::ServiceId service;
+        std::uint32_t pieces = 0;
+        Time due;
+    };
+    struct Commitment {
+        std::vector<ComingStep> steps;
+        Time until;
+        Time predicted; ///< without what is learned of errors
+        std::size_t depth = 0; ///< longest chain of stages
+    };
+    struct Prediction {
+        Time done;
+        std::size_t depth = 0;
+        std::size_t ahead = 0;
+        bool keepsOthers = true;
+        Duration inQueues {}; ///< time behind other requests' pieces
+    };
+    Prediction predict(const PathRequest &request, Time now) const;
+    struct Outlook {
+        Time started; ///< the last piece
+        Duration call {};
+        std::size_t ahead = 0;
+        bool keepsOthers = true; ///< all that is due later and would be on time stays so
+    };
+    Outlook look(const ServiceWork &work, const PathStep &step, Time now) const;
+    void takeBack(const ComingStep &step);
+
+    std::map<routing::ServiceId, ServiceWork> services_;
+    std::unordered_map<RequestId, Commitment> commitments_;
+    double errorMs_ = 0; ///< learned: by how much each stage of a chain takes longer than predicted
+    double spreadMs_ = 80; ///< learned: how far most paths are off beside that; at first a third of a call
+};
 
-    PathDecision decide(const StagePlan &plan, const PathRequest &request, Time now) const;
+/**
+ * Chooses the cell that makes the pieces of a request.
+ *
+ * Load pattern: callers crowd in one zone, or a zone has lost endpoints, while others have room. A request goes to
+ * another cell if that one is sooner by more than what it costs that results cross zones. Each request looks at one
+ * other cell only, so that not all VMs rush to the same one on the same report.
+ */
+class CellChooser
+{
+public:
+    /** The VM that fills a cell's calls tells how its services are doing. */
+    void reported(const CellId &cell, const std::vector<ServiceWait> &waits, Time now);
+    /** Time that the steps would take in a cell; empty when nobody has told lately, or it can't make them. */
+    std::optional<Duration> expected(const CellId &cell, std::span<const PathStep> steps, Time now) const;
+    /** @param preferred where results are best made */
+    CellId choose(const CellId &preferred, std::span<const PathStep> steps, Time now, Random &random) const;
 
 private:
     struct Report {
-        Duration expected {};
+        std::vector<ServiceWait> waits;
         Time at;
     };
-    std::unordered_map<routing::ServiceId, Report> reports_;
+    std::map<CellId, Report> reports_;
 };
 
 } // namespace lacewing::stages
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -1,6 +1,7 @@
 #include <stages/stages.h>
 
 #include <algorithm>
+#include <queue>
 
 namespace lacewing::stages
 {
@@ -180,28 +181,78 @@
     return held.endpoint;
 }
 
-Duration BatchScheduler::expectedTime(Time now) const
+std::vector<Time> BatchScheduler::startTimes(std::span<const std::size_t> counts, Time now) const
 {
-    // The lines work in turns: what waits is spread over them, and the next free one takes the new piece.
-    std::size_t usable = 0;
-    Duration soonest = Duration::max();
+    // Endpoints take full calls in turns, each as soon as it is free.
+    using Turn = std::pair<Time, Duration>; // free at, time of a full call
+    std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
+    const double best = fastest();
     for (const auto &[id, line] : lines_) {
-        if (!line.isListed || isSlow(line, fastest())) {
+        if (!line.isListed || isSlow(line, best)) {
             continue;
         }
-        ++usable;
-        const auto length = Duration(std::int64_t(double(line.nominal.count()) * line.slowness));
-        const Duration left =
-            line.callsOpen == 0 ? Duration::zero() : std::max(line.startedAt + length - now, Duration::zero());
-        soonest = std::min(soonest, left);
-    }
-    if (usable == 0) {
-        return Duration::max();
-    }
-    const std::size_t callsBefore = orders_.size() / std::max<std::size_t>(traits_.piecesPerCall, 1);
-    const Duration full = nominalTime(traits_.piecesPerCall);
-    const Duration turns = full * std::int64_t(callsBefore) / std::int64_t(usable);
-    return soonest + turns + nominalTime(std::min(orders_.size() + 1, traits_.piecesPerCall));
+        const auto learned = [&](Duration nominal) {
+            return Duration(std::int64_t(double(nominal.count()) * line.slowness));
+        };
+        const bool isFree = line.callsOpen < traits_.callsInWork;
+        const Time free = isFree ? now : std::max(now, line.startedAt + learned(line.nominal));
+        turns.emplace(std::max(free, line.avoidUntil), learned(nominalTime(traits_.piecesPerCall)));
+    }
+    std::vector<Time> times(counts.size(), Time::max());
+    if (turns.empty()) {
+        return times;
+    }
+    const std::size_t perCall = std::max<std::size_t>(traits_.piecesPerCall, 1);
+    std::size_t started = 0;
+    for (std::size_t index = 0; index < counts.size(); ++index) {
+        while (started + perCall < counts[index]) {
+            const auto [free, call] = turns.top();
+            turns.pop();
+            turns.emplace(free + call, call);
+            started += perCall;
+        }
+        times[index] = turns.top().first;
+    }
+    return times;
+}
+
+Duration BatchScheduler::callTime(std::size_t waiting) const
+{
+    double slowness = 0;
+    std::size_t usable = 0;
+    const double best = fastest();
+    for (const auto &[id, line] : lines_) {
+        if (line.isListed && !isSlow(line, best)) {
+            slowness += line.slowness;
+            ++usable;
+        }
+    }
+    const double mean = usable > 0 ? slowness / double(usable) : 1;
+    const std::size_t pieces = std::min(std::max<std::size_t>(waiting, 1), traits_.piecesPerCall);
+    return Duration(std::int64_t(double(nominalTime(pieces).count()) * mean));
+}
+
+Duration BatchScheduler::turnTime(Time now) const
+{
+    std::size_t usable = 0;
+    std::size_t busy = 0;
+    const double best = fastest();
+    for (const auto &[id, line] : lines_) {
+        if (line.isListed && !isSlow(line, best)) {
+            ++usable;
+            busy += line.callsOpen >= traits_.callsInWork || now < line.avoidUntil ? 1 : 0;
+        }
+    }
+    // Calls end at independent moments.
+    const double busyShare = usable > 0 ? double(busy) / double(usable) : 0;
+    return Duration(std::int64_t(busyShare * double(callTime(traits_.piecesPerCall).count()) / double(usable + 1)));
+}
+
+void BatchScheduler::visitWaiting(const std::function<void(const PieceOrder &)> &visit) const
+{
+    for (const auto &order : orders_) {
+        visit(order);
+    }
 }
 
 std::optional<Time> BatchScheduler::nextDue() const
--- /dev/null
+++ b/libs/stages/src/cell_chooser.cpp
@@ -0,0 +1,70 @@
+#include <stages/stages.h>
+
+#include <algorithm>
+
+namespace lacewing::stages
+{
+namespace
+{
+
+/** A report counts for this time: some beacons of the VM that told it. */
+constexpr Duration reportLife = 1200ms;
+/** Another cell must be sooner by this: results then cross zones. */
+constexpr Duration otherCellMargin = 120ms;
+
+} // namespace
+
+void CellChooser::reported(const CellId &cell, const std::vector<ServiceWait> &waits, Time now)
+{
+    reports_[cell] = { waits, now };
+}
+
+std::optional<Duration> CellChooser::expected(const CellId &cell, std::span<const PathStep> steps, Time now) const
+{
+    const auto found = reports_.find(cell);
+    if (found == reports_.end() || now - found->second.at > reportLife) {
+        return std::nullopt;
+    }
+    std::vector<Duration> doneAt(steps.size());
+    Duration last {};
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        const PathStep &step = steps[index];
+        Duration ready {};
+        for (const auto before : step.after) {
+            ready = std::max(ready, doneAt[before]);
+        }
+        doneAt[index] = ready;
+        if (step.pieces == 0) {
+            continue;
+        }
+        const auto &waits = found->second.waits;
+        const auto wait = std::find_if(
+            waits.begin(), waits.end(), [&](const ServiceWait &each) { return each.service == step.service; });
+        if (wait == waits.end()) {
+            return std::nullopt; // nothing there makes these pieces
+        }
+        doneAt[index] = std::max(ready, wait->wait) + wait->call;
+        last = std::max(last, doneAt[index]);
+    }
+    return last;
+}
+
+CellId CellChooser::choose(const CellId &preferred, std::span<const PathStep> steps, Time now, Random &random) const
+{
+    const auto here = expected(preferred, steps, now);
+    std::vector<std::pair<CellId, Duration>> others;
+    for (const auto &[cell, report] : reports_) {
+        const auto time = cell == preferred ? std::nullopt : expected(cell, steps, now);
+        if (time) {
+            others.emplace_back(cell, *time);
+        }
+    }
+    if (others.empty()) {
+        return preferred;
+    }
+    std::sort(others.begin(), others.end());
+    const auto &[cell, time] = others[random.below(others.size())];
+    return !here || time + otherCellMargin < *here ? cell : preferred;
+}
+
+} // namespace lacewing::stages
--- a/tools/gateway/src/call_filler.cpp
+++ b/tools/gateway/src/call_filler.cpp
@@ -21,8 +21,6 @@
 constexpr Duration releaseLimit = 2s;
 /** Least time between two looks at what waits without any event. */
 constexpr Duration recheckTime = 20ms;
-/** Longest time that is told of a queue. */
-constexpr Duration longestExpected = 60s;
 /** Connections to one endpoint; a few calls at a time and the messages that give up results. */
 constexpr std::size_t maxPerEndpoint = 16;
 constexpr Duration keepIdle = 4s;
@@ -51,10 +49,10 @@
 {
 }
 
-CallFiller::CallFiller(FillerShared &shared, routing::ServiceId service, std::string scope)
+CallFiller::CallFiller(FillerShared &shared, routing::ServiceId service, stages::CellId cell)
     : shared_(shared)
     , service_(std::move(service))
-    , scope_(std::move(scope))
+    , cell_(std::move(cell))
     , scheduler_({})
 {
     refresh();
@@ -70,8 +68,8 @@
     }
     std::vector<stages::BatchEndpoint> endpoints;
     for (const auto *entry : shared_.state.endpoints().serving(service_)) {
-        const bool inScope = scope_.empty() || entry->zone.text() == scope_;
-        if (inScope && shared_.links.isZoneHeard(entry->zone)) {
+        const bool isOfCell = cell_.isEmpty() || entry->zone.text() == cell_.text();
+        if (isOfCell && shared_.links.isZoneHeard(entry->zone)) {
             endpoints.push_back({ entry->id, entry->zone });
         }
     }
@@ -101,12 +99,6 @@
     releases_[result.endpoint].push_back(result.handle);
 }
 
-std::optional<Duration> CallFiller::expectedTime() const
-{
-    const Duration time = scheduler_.expectedTime(now());
-    return time == Duration::max() ? std::nullopt : std::optional(std::min(time, longestExpected));
-}
-
 void CallFiller::startSoon(Duration wait)
 {
     auto &timers = shared_.context.loop.timers();
--- a/tools/gateway/src/call_filler.h
+++ b/tools/gateway/src/call_filler.h
@@ -41,14 +41,13 @@
     telemetry::Histogram fullness;
 };
 
-/** Fills the calls of one service's endpoints in one scope, and sends them; used on the VM that was chosen for it. */
+/** Fills the calls of one service's endpoints in one cell, and sends them; used on the VM that was chosen for it. */
 class CallFiller
 {
 public:
     using Callback = std::function<void(const PieceOutcome &)>;
 
-    /** @param scope zone whose endpoints are used; empty: those of all zones */
-    CallFiller(FillerShared &shared, routing::ServiceId service, std::string scope);
+    CallFiller(FillerShared &shared, routing::ServiceId service, stages::CellId cell);
     CallFiller(const CallFiller &) = delete;
     CallFiller &operator=(const CallFiller &) = delete;
 
@@ -63,8 +62,10 @@
     {
         return callbacks_.size();
     }
-    /** Time until a piece added now would be made; empty when no endpoint is known. */
-    std::optional<Duration> expectedTime() const;
+    const stages::BatchScheduler &scheduler() const noexcept
+    {
+        return scheduler_;
+    }
 
 private:
     void startSoon(Duration wait);
@@ -84,7 +85,7 @@
 
     FillerShared &shared_;
     routing::ServiceId service_;
-    std::string scope_;
+    stages::CellId cell_;
     routing::BatchTraits traits_;
     stages::BatchScheduler scheduler_;
     std::unordered_map<stages::PieceTicket, Callback> callbacks_;
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -45,6 +45,7 @@
     own_.zone = context.settings.zone.text();
     own_.address = address();
     own_.incarnation = context.incarnation.value();
+    own_.processorShare = context.settings.processorShare;
 }
 
 Result<void> FleetLinks::listen()
@@ -161,6 +162,15 @@
     return known != nullptr && isLive(*known);
 }
 
+double FleetLinks::processorShare(const VmId &vm) const
+{
+    if (vm == context_.settings.vm) {
+        return context_.settings.processorShare;
+    }
+    const auto *known = find(vm);
+    return known != nullptr && known->heardAt ? known->beacon.processorShare : 0;
+}
+
 void FleetLinks::send(const VmId &vm, std::string message)
 {
     if (const auto *known = find(vm)) {
@@ -200,16 +210,23 @@
 
 BeaconLink FleetLinks::linkTo(const KnownVm &vm) const
 {
-    const bool hasDuties = own_.followsStore || !own_.loads.empty();
-    return { vm.zone == context_.settings.zone, isLive(vm), hasDuties, vms_.size() };
+    return { vm.zone == context_.settings.zone, isLive(vm), hasDuties(), vms_.size() };
+}
+
+/** Whether VMs of other zones have to notice at once when this VM is gone. */
+bool FleetLinks::hasDuties() const noexcept
+{
+    return own_.followsStore || !own_.loads.empty();
 }
 
 void FleetLinks::sendBeacons()
 {
     handlers_.fill(own_);
     ++round_;
+    // Whoever waits for the next beacon as it was told must hear when that changes.
+    const bool isNews = std::exchange(hadDuties_, hasDuties()) != hasDuties();
     for (const auto &[id, vm] : vms_) {
-        if (BeaconPlan::isTurn(linkTo(vm), round_, hashBytes(id.text()))) {
+        if (isNews || BeaconPlan::isTurn(linkTo(vm), round_, hashBytes(id.text()))) {
             sendBeacon(vm);
         }
     }
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -68,6 +68,8 @@
     const KnownVm *find(const VmId &vm) const;
     /** Whether a VM was heard lately. */
     bool isHeard(const VmId &vm) const;
+    /** Share of a core that a VM may use, this one's own among them; 0 if it isn't known. */
+    double processorShare(const VmId &vm) const;
 
     void send(const VmId &vm, std::string message);
     void sendToAll(const std::string &message);
@@ -80,6 +82,7 @@
 private:
     bool isLive(const KnownVm &vm) const;
     BeaconLink linkTo(const KnownVm &vm) const;
+    bool hasDuties() const noexcept;
     void sendBeacons();
     void sendBeacon(const KnownVm &vm);
     void takeMessage(const peer::PeerIdentity &from, const std::string &message);
@@ -93,6 +96,7 @@
     std::map<VmId, KnownVm> vms_;
     Beacon own_;
     std::uint64_t round_ = 0; ///< of beacons
+    bool hadDuties_ = false; ///< in the last round
     std::vector<VmId> lastMembers_;
 };
 
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -52,7 +52,7 @@
     , signals_(context.loop.ioContext(), SIGTERM, SIGINT, SIGHUP)
     , links_(context, fleetHandlers())
     , state_(context, links_, [this] { viewChanged(); })
-    , pieces_(context, links_, state_)
+    , pieces_(context, links_, state_, random_.next())
     , client_(context.loop, endpointOptions(context))
     , chooser_(random_.next())
     , prefixes_(prefixLife)
@@ -183,7 +183,7 @@
     };
     handlers.onBeacon = [this](const VmId &vm, const Beacon &beacon) {
         state_.heard(vm, beacon);
-        pieces_.heard(beacon.loads);
+        pieces_.heard(vm, beacon.loads);
         std::vector<Fingerprint> refused(beacon.refused.begin(), beacon.refused.end());
         shared_.refused.merge(refused, context_.now());
     };
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -4,6 +4,7 @@
 #include <wire/wire.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,13 +12,14 @@
 namespace lacewing::gateway
 {
 
-/** How long a piece takes at the VM that fills a service's calls. */
+/** How a service is doing at the VM that fills its calls. */
 struct LoadMessage {
     std::string service;
-    std::string scope; ///< zone whose endpoints are used; empty: all
-    std::uint32_t expectedMs = 0;
+    std::string cell; ///< zone whose endpoints are used; empty: all
+    std::int64_t waitMs = 0; ///< until a piece would be started that comes after all that is promised
+    std::int64_t callMs = 0; ///< time of a call then
 
-    LACEWING_MEMBERS(service, scope, expectedMs)
+    LACEWING_MEMBERS(service, cell, waitMs, callMs)
 };
 
 /** Sent by each VM to the others, again and again: it is alive, and how far its view goes. */
@@ -28,6 +30,7 @@
     std::uint64_t incarnation = 0;
     bool leaving = false;
     std::uint32_t periodMs = 0; ///< until the receiver's next beacon from this VM
+    double processorShare = 1; ///< of a core, that the VM may use
     std::uint64_t stateVersion = 0; ///< desired state in force there
     std::uint64_t operatorEnd = 0; ///< offset up to which it knows the operator's records
     std::uint64_t endpointsEnd = 0; ///< offset up to which it knows endpoints' registrations
@@ -41,6 +44,7 @@
                      incarnation,
                      leaving,
                      periodMs,
+                     processorShare,
                      stateVersion,
                      operatorEnd,
                      endpointsEnd,
@@ -49,9 +53,9 @@
                      followsStore)
 };
 
-/** One piece in a call to the VM that fills the calls of its service. */
+/** One piece in a call to the VM that fills the calls of its cell. */
 struct PieceMessage {
-    std::string request;
+    std::uint32_t service = 0; ///< position in the request's services
     std::uint32_t stage = 0;
     std::uint32_t piece = 0;
     std::string key;
@@ -62,17 +66,42 @@
     std::uint64_t resultBytes = 0;
     std::uint64_t zoneBytes = 0; ///< that cross zones if it is made in another than wanted
 
-    LACEWING_MEMBERS(request, stage, piece, key, inputs, dueMs, limitMs, worth, resultBytes, zoneBytes)
+    LACEWING_MEMBERS(service, stage, piece, key, inputs, dueMs, limitMs, worth, resultBytes, zoneBytes)
+};
+
+/** One stage of a request that wants to begin. */
+struct StepMessage {
+    std::uint32_t service = 0; ///< position in the request's services
+    std::uint32_t pieces = 0;
+    std::int64_t dueMs = 0; ///< from now
+    std::vector<std::uint32_t> after; ///< positions of steps
+
+    LACEWING_MEMBERS(service, pieces, dueMs, after)
 };
 
-/** Asks another VM to have pieces made. */
+/** All stages of a request that wants to begin, and what decides whether it may. */
+struct PathMessage {
+    std::int64_t elapsedMs = 0; ///< since the request came
+    std::int64_t targetMs = 0;
+    std::int64_t afterStagesMs = 0;
+    std::int32_t rank = 0;
+    double relativeWorth = 1;
+    bool isReturning = false;
+    std::vector<StepMessage> steps;
+
+    LACEWING_MEMBERS(elapsedMs, targetMs, afterStagesMs, rank, relativeWorth, isReturning, steps)
+};
+
+/** Asks another VM to have pieces of one request made. */
 struct PiecesRequest {
-    std::string service;
-    std::string scope; ///< zone whose endpoints are used; empty: all
+    std::string cell; ///< zone whose endpoints are used; empty: all
     std::string zone; ///< where the results are best made
+    std::string request;
+    std::vector<std::string> services;
     std::vector<PieceMessage> pieces;
+    std::optional<PathMessage> path; ///< of a request that the cell has not admitted yet
 
-    LACEWING_MEMBERS(service, scope, zone, pieces)
+    LACEWING_MEMBERS(cell, zone, request, services, pieces, path)
 };
 
 /** Part of the answer to PiecesRequest: what became of one piece. */
@@ -84,20 +113,29 @@
 
     LACEWING_MEMBERS(index, handle, endpoint, failure)
 };
+/** The cell has no time for the request's path; none of its pieces are made. */
+struct RefusalMessage {
+    std::int64_t predictedMs = 0; ///< until the stages would be done
+    std::int64_t comeBackMs = 0;
+    std::uint64_t ahead = 0; ///< pieces that go before it, at the stage with most of them
+
+    LACEWING_MEMBERS(predictedMs, comeBackMs, ahead)
+};
 struct PieceResults {
     std::vector<PieceResult> results;
+    std::optional<RefusalMessage> refused;
 
-    LACEWING_MEMBERS(results)
+    LACEWING_MEMBERS(results, refused)
 };
 
 /** Results that are not needed any more, all of one service. */
 struct ReleaseMessage {
     std::string service;
-    std::string scope;
+    std::string cell;
     std::vector<std::string> endpoints; ///< one for each handle
     std::vector<std::string> handles;
 
-    LACEWING_MEMBERS(service, scope, endpoints, handles)
+    LACEWING_MEMBERS(service, cell, endpoints, handles)
 };
 
 /** A request that was running on an endpoint as it went down. */
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -1,5 +1,7 @@
 #include "piece_service.h"
 
+#include "piece_codec.h"
+
 #include <algorithm>
 #include <set>
 
@@ -8,109 +10,61 @@
 namespace
 {
 
-/** A zone with fewer endpoints of a service on average shares them with all zones: calls then start sooner. */
-constexpr std::size_t endpointsPerZoneToPart = 4;
-/** Wait for a link to the VM that fills a service's calls. */
+/** Endpoints of each service that a zone must have on average to be a cell of its own: with fewer, calls start sooner
+ * when all zones share them. */
+constexpr std::size_t endpointsPerCell = 3;
+/** A VM with less than this share of the most powerful one's processor time fills no calls. */
+constexpr double leastPowerShare = 0.5;
+/** Wait for a link to the VM that fills a cell's calls. */
 constexpr Duration linkLimit = 300ms;
-
 /** What is waited longer than the pieces' own limits for a VM that should have told of them. */
 constexpr Duration limitMargin = 2s;
 
-PieceMessage toMessage(const stages::PieceOrder &order, Time now)
-{
-    PieceMessage message;
-    message.request = order.request.text();
-    message.stage = order.index.stage;
-    message.piece = order.index.piece;
-    message.key = order.key;
-    for (const auto &input : order.inputs) {
-        message.inputs.push_back(input.text());
-    }
-    message.dueMs = toMilliseconds(order.due - now);
-    message.limitMs = toMilliseconds(order.limit - now);
-    message.worth = order.worth;
-    message.resultBytes = order.resultBytes.value();
-    message.zoneBytes = order.zoneBytes.value();
-    return message;
-}
-
-stages::PieceOrder toOrder(PieceMessage message, const AvailabilityZoneId &zone, Time now)
-{
-    stages::PieceOrder order;
-    order.request = stages::RequestId(std::move(message.request));
-    order.index = { message.stage, message.piece };
-    order.key = std::move(message.key);
-    for (auto &input : message.inputs) {
-        order.inputs.emplace_back(std::move(input));
-    }
-    order.due = now + std::chrono::milliseconds(message.dueMs);
-    order.limit = now + std::chrono::milliseconds(message.limitMs);
-    order.worth = message.worth;
-    order.resultBytes = Bytes(message.resultBytes);
-    order.zone = zone;
-    order.zoneBytes = Bytes(message.zoneBytes);
-    return order;
-}
-
-PieceResult toResult(std::uint32_t index, const PieceOutcome &outcome)
-{
-    PieceResult result { index, {}, {}, outcome.failure };
-    if (outcome.result) {
-        result.handle = outcome.result->handle.text();
-        result.endpoint = outcome.result->endpoint.text();
-    }
-    return result;
-}
-
-PieceOutcome toOutcome(const PieceResult &result)
-{
-    PieceOutcome outcome { std::nullopt, result.failure };
-    if (!result.handle.empty()) {
-        outcome.result = HeldResult { stages::ResultHandle(result.handle), EndpointId(result.endpoint) };
-    }
-    return outcome;
-}
-
 } // namespace
 
 struct PieceService::Open {
     Submission id;
-    routing::ServiceId service;
-    std::string scope;
-    AvailabilityZoneId zone;
-    std::vector<stages::PieceOrder> pieces;
+    PieceBatch batch;
     std::vector<bool> done;
-    PieceCallback callback;
+    PieceHandlers handlers;
     std::vector<VmId> tried;
     peer::PeerCallHandle call;
-    std::vector<stages::PieceTicket> tickets; ///< at the filler here
+    std::vector<stages::PieceTicket> tickets; ///< at the fillers here, one for each piece; 0: none
+    std::size_t left = 0;
+};
+
+struct PieceService::Served {
+    peer::PeerCallWriter writer;
+    stages::RequestId request;
+    stages::CellId cell;
+    std::vector<std::pair<routing::ServiceId, stages::PieceTicket>> tickets;
     std::size_t left = 0;
 };
 
-PieceService::PieceService(Context &context, FleetLinks &links, FleetState &state)
+PieceService::PieceService(Context &context, FleetLinks &links, FleetState &state, std::uint64_t seed)
     : context_(context)
     , links_(links)
     , state_(state)
+    , random_(seed)
     , shared_(context, links, state)
 {
 }
 
 PieceService::~PieceService() = default;
 
-Submission PieceService::submit(const routing::ServiceId &service,
-                                const AvailabilityZoneId &zone,
-                                std::vector<stages::PieceOrder> pieces,
-                                PieceCallback callback)
+stages::CellId PieceService::chooseCell(const AvailabilityZoneId &zone, std::span<const stages::PathStep> steps)
+{
+    return chooser_.choose(cellOf(zone), steps, context_.now(), random_);
+}
+
+Submission PieceService::submit(PieceBatch batch, PieceHandlers handlers)
 {
     const auto open = std::make_shared<Open>();
     open->id = Submission(++lastSubmission_);
-    open->service = service;
-    open->scope = scopeOf(service);
-    open->zone = zone;
-    open->left = pieces.size();
-    open->done.resize(pieces.size());
-    open->pieces = std::move(pieces);
-    open->callback = std::move(callback);
+    open->batch = std::move(batch);
+    open->left = open->batch.pieces.size();
+    open->done.resize(open->left);
+    open->handlers = std::move(handlers);
     open_.emplace(open->id, open);
     place(open);
     return open->id;
@@ -127,70 +81,88 @@
     if (open->call != peer::PeerCallHandle()) {
         links_.cancel(open->call);
     }
-    for (const auto ticket : open->tickets) {
-        filler(open->service, open->scope).cancel(ticket);
+    if (open->tickets.empty()) {
+        return;
     }
+    for (std::size_t index = 0; index < open->tickets.size(); ++index) {
+        filler(open->batch.pieces[index].service, open->batch.cell).cancel(open->tickets[index]);
+    }
+    cells_[open->batch.cell].planner.ended(open->batch.pieces.front().request);
 }
 
 void PieceService::release(const routing::ServiceId &service, const std::vector<HeldResult> &results)
 {
-    if (results.empty()) {
-        return;
+    std::map<stages::CellId, std::vector<HeldResult>> byCell;
+    for (const auto &result : results) {
+        if (const auto *entry = state_.endpoints().find(result.endpoint)) {
+            byCell[cellOf(entry->zone)].push_back(result);
+        } // else it left, and its results went with it
     }
-    const std::string scope = scopeOf(service);
-    const VmId vm = chooseVm(service, scope, {});
-    if (vm == context_.settings.vm) {
-        for (const auto &result : results) {
-            filler(service, scope).release(result);
+    for (const auto &[cell, held] : byCell) {
+        const VmId vm = chooseVm(cell, {});
+        if (vm == context_.settings.vm) {
+            for (const auto &result : held) {
+                filler(service, cell).release(result);
+            }
+            continue;
         }
-        return;
-    }
-    ReleaseMessage message { service.text(), scope, {}, {} };
-    for (const auto &result : results) {
-        message.endpoints.push_back(result.endpoint.text());
-        message.handles.push_back(result.handle.text());
+        ReleaseMessage message { service.text(), cell.text(), {}, {} };
+        for (const auto &result : held) {
+            message.endpoints.push_back(result.endpoint.text());
+            message.handles.push_back(result.handle.text());
+        }
+        links_.send(vm, envelope(MessageKind::Release, message));
     }
-    links_.send(vm, envelope(MessageKind::Release, message));
 }
 
 void PieceService::serve(PiecesRequest request, peer::PeerCallWriter writer)
 {
-    const routing::ServiceId service(request.service);
-    CallFiller &target = filler(service, request.scope);
-    const Time now = context_.now();
-    struct Served {
-        peer::PeerCallWriter writer;
-        std::size_t left = 0;
-        std::vector<stages::PieceTicket> tickets;
-    };
+    auto asked = toBatch(std::move(request), context_.now());
+    if (!asked) {
+        writer.fail({ ErrorKind::Malformed, "not a batch of pieces" });
+        return;
+    }
+    PieceBatch batch = std::move(*asked);
+    if (batch.path) {
+        const auto decision = admit(batch.cell, *batch.path);
+        if (!decision.admitted) {
+            writer.write(wire::encode(PieceResults { {}, toMessage(decision) }));
+            writer.end();
+            return;
+        }
+    }
     const auto served = std::make_shared<Served>();
     served->writer = writer;
-    served->left = request.pieces.size();
-    for (std::uint32_t index = 0; index < request.pieces.size(); ++index) {
-        auto order = toOrder(std::move(request.pieces[index]), AvailabilityZoneId(request.zone), now);
+    served->request = batch.pieces.front().request;
+    served->cell = batch.cell;
+    served->left = batch.pieces.size();
+    for (std::uint32_t index = 0; index < batch.pieces.size(); ++index) {
+        auto &order = batch.pieces[index];
         order.ticket = stages::PieceTicket(++lastTicket_);
-        served->tickets.push_back(order.ticket);
-        target.add(std::move(order), [served, index](const PieceOutcome &outcome) {
-            served->writer.write(wire::encode(PieceResults { { toResult(index, outcome) } }));
+        served->tickets.emplace_back(order.service, order.ticket);
+        cells_[batch.cell].planner.stageReady(order.request, order.index.stage);
+        CallFiller &target = filler(order.service, batch.cell);
+        target.add(std::move(order), [this, served, index](const PieceOutcome &outcome) {
+            served->writer.write(wire::encode(PieceResults { { toResult(index, outcome) }, {} }));
             if (--served->left == 0) {
+                cells_[served->cell].planner.made(served->request, context_.now());
                 served->writer.end();
             }
         });
     }
-    if (served->left == 0) {
-        writer.end();
-        return;
-    }
-    writer.onClosed([this, served, service, scope = request.scope] {
-        for (const auto ticket : served->tickets) {
-            filler(service, scope).cancel(ticket);
+    writer.onClosed([this, served] {
+        for (const auto &[service, ticket] : served->tickets) {
+            filler(service, served->cell).cancel(ticket);
+        }
+        if (served->left > 0) {
+            cells_[served->cell].planner.ended(served->request);
         }
     });
 }
 
 void PieceService::serve(const ReleaseMessage &message)
 {
-    CallFiller &target = filler(routing::ServiceId(message.service), message.scope);
+    CallFiller &target = filler(routing::ServiceId(message.service), stages::CellId(message.cell));
     for (std::size_t index = 0; index < std::min(message.endpoints.size(), message.handles.size()); ++index) {
         target.release({ stages::ResultHandle(message.handles[index]), EndpointId(message.endpoints[index]) });
     }
@@ -198,8 +170,20 @@
 
 void PieceService::refresh()
 {
-    for (const auto &[key, filler] : fillers_) {
-        filler->refresh();
+    isParted_ = isPartedByZone();
+    const auto routes = state_.routes();
+    const stages::CellId own = cellOf(context_.settings.zone);
+    if (routes && chooseVm(own, {}) == context_.settings.vm) {
+        for (const auto &service : routes->state().services) {
+            if (service.batch) {
+                filler(service.id, own);
+            }
+        }
+    }
+    for (const auto &[cell, filling] : cells_) {
+        for (const auto &[service, filler] : filling.fillers) {
+            filler->refresh();
+        }
     }
     // Pieces that wait at a VM that fell silent are placed again.
     std::vector<OpenPtr> stranded;
@@ -223,26 +207,31 @@
 
 std::vector<LoadMessage> PieceService::loads()
 {
+    const Time now = context_.now();
     std::vector<LoadMessage> result;
-    for (const auto &[key, filler] : fillers_) {
-        const auto &[service, scope] = key;
-        if (chooseVm(service, scope, {}) != context_.settings.vm) {
+    for (auto &[cell, filling] : cells_) {
+        filling.planner.expire(now);
+        if (chooseVm(cell, {}) != context_.settings.vm) {
             continue;
         }
-        if (const auto expected = filler->expectedTime()) {
-            result.push_back({ service.text(), scope, static_cast<std::uint32_t>(toMilliseconds(*expected)) });
+        for (const auto &wait : filling.planner.waits(now)) {
+            result.push_back(toMessage(cell, wait));
         }
     }
-    heard(result);
+    heard(context_.settings.vm, result);
     return result;
 }
 
-void PieceService::heard(const std::vector<LoadMessage> &loads)
+void PieceService::heard(const VmId &vm, const std::vector<LoadMessage> &loads)
 {
+    std::map<stages::CellId, std::vector<stages::ServiceWait>> byCell;
     for (const auto &load : loads) {
-        const routing::ServiceId service(load.service);
-        if (load.scope == scopeOf(service)) {
-            admission_.reported(service, std::chrono::milliseconds(load.expectedMs), context_.now());
+        byCell[stages::CellId(load.cell)].push_back(toWait(load));
+    }
+    for (const auto &[cell, waits] : byCell) {
+        if (cell.isEmpty() != isParted_) {
+            fillingVms_[cell] = vm;
+            chooser_.reported(cell, waits, context_.now());
         }
     }
 }
@@ -250,32 +239,61 @@
 std::size_t PieceService::pending() const
 {
     std::size_t count = 0;
-    for (const auto &[key, filler] : fillers_) {
-        count += filler->pending();
+    for (const auto &[cell, filling] : cells_) {
+        for (const auto &[service, filler] : filling.fillers) {
+            count += filler->pending();
+        }
     }
     return count;
 }
 
-/** The zone whose endpoints make a service's pieces for this VM; empty: those of all zones. */
-std::string PieceService::scopeOf(const routing::ServiceId &service)
+stages::CellId PieceService::cellOf(const AvailabilityZoneId &zone) const
 {
-    std::set<std::string> zones;
-    const auto &serving = state_.endpoints().serving(service);
-    std::size_t own = 0;
-    for (const auto *entry : serving) {
-        zones.insert(entry->zone.text());
-        own += entry->zone == context_.settings.zone ? 1 : 0;
-    }
-    const bool parted = own > 0 && serving.size() >= endpointsPerZoneToPart * zones.size();
-    return parted ? context_.settings.zone.text() : std::string();
+    return isParted_ ? stages::CellId(zone.text()) : stages::CellId();
 }
 
-VmId PieceService::chooseVm(const routing::ServiceId &service,
-                            const std::string &scope,
-                            const std::vector<VmId> &tried) const
+/** Whether each zone's endpoints are a cell, or those of all zones together. */
+bool PieceService::isPartedByZone() const
 {
-    auto members = links_.members(scope.empty() ? std::nullopt : std::optional(AvailabilityZoneId(scope)));
-    std::erase_if(members, [&](const VmId &vm) { return std::find(tried.begin(), tried.end(), vm) != tried.end(); });
+    const auto routes = state_.routes();
+    if (!routes) {
+        return false;
+    }
+    bool any = false;
+    for (const auto &service : routes->state().services) {
+        if (!service.batch) {
+            continue;
+        }
+        std::set<AvailabilityZoneId> zones;
+        const auto &serving = state_.endpoints().serving(service.id);
+        for (const auto *entry : serving) {
+            zones.insert(entry->zone);
+        }
+        if (zones.size() < 2 || serving.size() < endpointsPerCell * zones.size()) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
+VmId PieceService::chooseVm(const stages::CellId &cell, const std::vector<VmId> &tried) const
+{
+    const auto wasTried = [&](const VmId &vm) { return std::find(tried.begin(), tried.end(), vm) != tried.end(); };
+    const bool isOther = !cell.isEmpty() && cell.text() != context_.settings.zone.text();
+    if (const auto told = fillingVms_.find(cell); isOther && told != fillingVms_.end()) {
+        const auto *known = links_.find(told->second);
+        if (known != nullptr && !known->beacon.leaving && links_.isHeard(told->second) && !wasTried(told->second)) {
+            return told->second;
+        }
+    }
+    auto members = links_.members(cell.isEmpty() ? std::nullopt : std::optional(AvailabilityZoneId(cell.text())));
+    std::erase_if(members, wasTried);
+    double most = 0;
+    for (const auto &vm : members) {
+        most = std::max(most, links_.processorShare(vm));
+    }
+    std::erase_if(members, [&](const VmId &vm) { return links_.processorShare(vm) < leastPowerShare * most; });
     if (members.empty()) {
         return context_.settings.vm;
     }
@@ -284,21 +302,37 @@
     for (const auto &vm : members) {
         names.push_back(vm.text());
     }
-    return members[rendezvous(service.text() + "/" + scope, names, 1).front()];
+    return members[rendezvous("cell/" + cell.text(), names, 1).front()];
 }
 
-CallFiller &PieceService::filler(const routing::ServiceId &service, const std::string &scope)
+CallFiller &PieceService::filler(const routing::ServiceId &service, const stages::CellId &cell)
 {
-    auto &slot = fillers_[{ service, scope }];
+    Cell &filling = cells_[cell];
+    auto &slot = filling.fillers[service];
     if (!slot) {
-        slot = std::make_unique<CallFiller>(shared_, service, scope);
+        slot = std::make_unique<CallFiller>(shared_, service, cell);
+        filling.planner.setScheduler(service, &slot->scheduler());
     }
     return *slot;
 }
 
+/** Decides on a request for all its stages, and keeps what it will need. */
+stages::PathDecision PieceService::admit(const stages::CellId &cell, const stages::PathRequest &path)
+{
+    for (const auto &step : path.steps) {
+        filler(step.service, cell);
+    }
+    auto &planner = cells_[cell].planner;
+    const auto decision = planner.decide(path, context_.now());
+    if (decision.admitted) {
+        planner.admit(path, context_.now());
+    }
+    return decision;
+}
+
 void PieceService::place(const OpenPtr &open)
 {
-    const VmId vm = chooseVm(open->service, open->scope, open->tried);
+    const VmId vm = chooseVm(open->batch.cell, open->tried);
     if (vm == context_.settings.vm) {
         placeHere(open);
     } else {
@@ -309,15 +343,24 @@
 void PieceService::placeHere(const OpenPtr &open)
 {
     open->call = {};
-    CallFiller &target = filler(open->service, open->scope);
-    for (std::size_t index = 0; index < open->pieces.size(); ++index) {
+    if (open->batch.path) {
+        const auto decision = admit(open->batch.cell, *open->batch.path);
+        if (!decision.admitted) {
+            refused(open, decision);
+            return;
+        }
+        open->batch.path.reset();
+    }
+    open->tickets.resize(open->batch.pieces.size());
+    for (std::size_t index = 0; index < open->batch.pieces.size(); ++index) {
         if (open->done[index]) {
             continue;
         }
-        stages::PieceOrder order = open->pieces[index];
-        order.ticket = stages::PieceTicket(++lastTicket_);
-        order.zone = open->zone;
-        open->tickets.push_back(order.ticket);
+        stages::PieceOrder order = open->batch.pieces[index];
+        order.ticket = open->tickets[index] = stages::PieceTicket(++lastTicket_);
+        order.zone = open->batch.zone;
+        cells_[open->batch.cell].planner.stageReady(order.request, order.index.stage);
+        CallFiller &target = filler(order.service, open->batch.cell);
         target.add(std::move(order),
                    [this, open, index](const PieceOutcome &outcome) { finish(open, index, outcome); });
     }
@@ -326,40 +369,46 @@
 void PieceService::placeAt(const OpenPtr &open, const VmId &vm)
 {
     const Time now = context_.now();
-    PiecesRequest request { open->service.text(), open->scope, open->zone.text(), {} };
     std::vector<std::size_t> indices;
     Time limit = now;
-    for (std::size_t index = 0; index < open->pieces.size(); ++index) {
-        if (open->done[index]) {
-            continue;
+    for (std::size_t index = 0; index < open->batch.pieces.size(); ++index) {
+        if (!open->done[index]) {
+            limit = std::max(limit, open->batch.pieces[index].limit);
+            indices.push_back(index);
         }
-        const auto &piece = open->pieces[index];
-        limit = std::max(limit, piece.limit);
-        request.pieces.push_back(toMessage(piece, now));
-        indices.push_back(index);
     }
     open->tried.push_back(vm);
     peer::CallHandlers handlers;
-    handlers.onData = [this, open, indices](const std::string &message) {
-        const auto results = wire::decode<PieceResults>(message);
-        if (!results) {
-            context_.logger.warn("piece results not understood", { { "why", results.error().detail } });
-            return;
-        }
-        for (const auto &result : results.value().results) {
-            if (result.index < indices.size()) {
-                finish(open, indices[result.index], toOutcome(result));
-            }
-        }
-    };
+    handlers.onData = [this, open, indices](const std::string &message) { takeResults(open, indices, message); };
     handlers.onFailed = [this, open, vm](const Error &error, bool) {
         open->call = {};
         placeAgain(open, vm, error);
     };
     // What waits there is told in time by its limit, so the call itself has a limit just beyond that.
     const Duration total = limit - now + limitMargin;
-    open->call =
-        links_.call(vm, envelope(MessageKind::Pieces, request), { linkLimit, 0s, 0s, total }, std::move(handlers));
+    open->call = links_.call(vm,
+                             envelope(MessageKind::Pieces, toRequest(open->batch, indices, now)),
+                             { linkLimit, 0s, 0s, total },
+                             std::move(handlers));
+}
+
+void PieceService::takeResults(const OpenPtr &open, const std::vector<std::size_t> &indices, const std::string &message)
+{
+    const auto results = wire::decode<PieceResults>(message);
+    if (!results) {
+        context_.logger.warn("piece results not understood", { { "why", results.error().detail } });
+        return;
+    }
+    if (results.value().refused) {
+        refused(open, toDecision(*results.value().refused));
+        return;
+    }
+    open->batch.path.reset();
+    for (const auto &result : results.value().results) {
+        if (result.index < indices.size()) {
+            finish(open, indices[result.index], toOutcome(result));
+        }
+    }
 }
 
 void PieceService::placeAgain(const OpenPtr &open, const VmId &failed, const Error &error)
@@ -368,8 +417,8 @@
         return;
     }
     context_.logger.state("pieces placed again",
-                          { { "service", open->service },
-                            { "request", open->pieces.empty() ? std::string() : open->pieces.front().request.text() },
+                          { { "cell", open->batch.cell },
+                            { "request", open->batch.pieces.front().request.text() },
                             { "vm", failed },
                             { "why", toText(error.kind) },
                             { "left", open->left } });
@@ -380,15 +429,23 @@
 {
     if (!open_.contains(open->id) || open->done[index]) {
         if (outcome.result) {
-            release(open->service, { *outcome.result });
+            release(open->batch.pieces[index].service, { *outcome.result });
         }
         return;
     }
     open->done[index] = true;
     if (--open->left == 0) {
+        cells_[open->batch.cell].planner.made(open->batch.pieces.front().request, context_.now());
         open_.erase(open->id);
     }
-    open->callback(index, outcome);
+    open->handlers.onPiece(index, outcome);
+}
+
+void PieceService::refused(const OpenPtr &open, const stages::PathDecision &decision)
+{
+    if (open_.erase(open->id) > 0) {
+        open->handlers.onRefused(decision);
+    }
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -9,6 +9,8 @@
 
 /** Prompt tokens that an engine reads in a ms; typical of the engines in use. */
 constexpr double promptTokensPerMs = 90;
+/** Time to the first token beside the prompt's, at engines that are busy but not full. */
+constexpr Duration engineBaseTime = 110ms;
 /** A result that another zone holds makes a send there longer by this, in ms for each MB: it stands for the cost of
  * bytes between zones. */
 constexpr double otherZoneMsPerMegabyte = 40;
@@ -50,6 +52,11 @@
     return engine != nullptr && shared_.links.isZoneHeard(engine->zone) ? engine->zone : shared_.context.settings.zone;
 }
 
+Duration RequestPlacement::engineTime() const
+{
+    return engineBaseTime + fromSeconds(double(facts_.promptTokens) / promptTokensPerMs / 1000.0);
+}
+
 const routing::EndpointEntry *RequestPlacement::choose(const std::vector<EndpointId> &tried,
                                                        std::size_t maxConnections,
                                                        const ResultBytes &results) const
--- a/tools/gateway/src/request_placement.h
+++ b/tools/gateway/src/request_placement.h
@@ -21,6 +21,8 @@
 
     /** The zone of the session's engine if its part of the prompt is large; else this VM's own. */
     AvailabilityZoneId sessionZone() const;
+    /** Time that an engine usually takes to its first token. */
+    Duration engineTime() const;
     /** The best endpoint that wasn't tried; null when there is none. @param maxConnections 0: unknown */
     const routing::EndpointEntry *choose(const std::vector<EndpointId> &tried,
                                          std::size_t maxConnections,
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -138,35 +138,17 @@
     return route_->services.back().service;
 }
 
-/** Refuses a request whose stages can't be done in time. @param size credit against the mean of its route */
-bool RequestRun::admitStages(double size)
+void RequestRun::refuseStages(const stages::PathDecision &decision)
 {
-    double pieces = 0;
-    for (std::uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
-        pieces += stages_->plan().pieceCount(stage);
-    }
-    stages::PathRequest path;
-    path.elapsed = now() - request_.receivedAt;
-    path.target = route_->target;
-    path.afterStages = RequestStages::engineReserve;
-    path.rank = rank();
-    path.relativeWorth = size * shared_.pieceCounts.learn(route_->id, pieces) / std::max(pieces, 1.0);
-    path.isReturning = shared_.refused.isReturning(fingerprint_, now());
-    const auto decision = shared_.pieces.admission().decide(stages_->plan(), path, now());
-    if (!decision.admitted) {
-        shared_.decisions.write("stages too busy",
-                                { { "request", facts_.id },
-                                  { "predicted_ms", toMilliseconds(decision.predicted) },
-                                  { "target_ms", toMilliseconds(route_->target) },
-                                  { "rank", path.rank },
-                                  { "relative_worth", path.relativeWorth },
-                                  { "returning", path.isReturning },
-                                  { "report_age_ms", toMilliseconds(decision.reportAge) },
-                                  { "come_back_ms", toMilliseconds(decision.comeBackAfter) } },
-                                now());
-        refuse(net::status::unavailable, "stages too busy", decision.comeBackAfter);
-    }
-    return decision.admitted;
+    shared_.decisions.write("stages too busy",
+                            { { "request", facts_.id },
+                              { "predicted_ms", toMilliseconds(decision.predicted) },
+                              { "target_ms", toMilliseconds(route_->target) },
+                              { "rank", rank() },
+                              { "pieces_ahead", decision.ahead },
+                              { "come_back_ms", toMilliseconds(decision.comeBackAfter) } },
+                            now());
+    refuse(net::status::unavailable, "stages too busy", decision.comeBackAfter);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -175,30 +157,43 @@
 void RequestRun::beginStages()
 {
     phase_ = Phase::Stages;
+    double pieces = 0;
+    for (const auto count : facts_.pieceCounts) {
+        pieces += count;
+    }
     const double size = judgeSize();
-    StagesRequest stages { facts_.id,
-                           facts_.pieceKey,
-                           facts_.pieceCounts,
-                           request_.receivedAt,
-                           deadline_,
-                           size / (1.0 + route_->rank),
-                           placement_->sessionZone() };
+    StagesRequest stages;
+    stages.id = facts_.id;
+    stages.pieceKey = facts_.pieceKey;
+    stages.pieceCounts = facts_.pieceCounts;
+    stages.receivedAt = request_.receivedAt;
+    stages.deadline = deadline_;
+    stages.afterStages = placement_->engineTime();
+    stages.worth = size / (1.0 + route_->rank);
+    stages.firstZone = placement_->sessionZone();
+    stages.rank = rank();
+    stages.relativeWorth = size * shared_.pieceCounts.learn(route_->id, pieces) / std::max(pieces, 1.0);
+    stages.isReturning = shared_.refused.isReturning(fingerprint_, now());
     StagesHandlers handlers;
-    handlers.onDone = [weak = weak_from_this()] {
+    const auto weak = weak_from_this();
+    handlers.onDone = [weak] {
         if (const auto self = weak.lock()) {
             self->stagesDoneAt_ = self->now();
             self->dispatch();
         }
     };
-    handlers.onGivenUp = [weak = weak_from_this()](std::string_view why) {
+    handlers.onGivenUp = [weak](std::string_view why) {
         if (const auto self = weak.lock()) {
             self->giveUp(why);
         }
     };
+    handlers.onRefused = [weak](const stages::PathDecision &decision) {
+        if (const auto self = weak.lock()) {
+            self->refuseStages(decision);
+        }
+    };
     stages_ = std::make_shared<RequestStages>(shared_, *route_, std::move(stages), std::move(handlers));
-    if (admitStages(size)) {
-        stages_->start();
-    }
+    stages_->start();
 }
 
 void RequestRun::makeStagesAgain()
--- a/tools/gateway/src/request_run.h
+++ b/tools/gateway/src/request_run.h
@@ -30,7 +30,7 @@
     bool setDeadline();
     int rank() const noexcept;
     const routing::ServiceId &chooseService();
-    bool admitStages(double size);
+    void refuseStages(const stages::PathDecision &decision);
 
     // Stages
     void beginStages();
--- a/tools/gateway/src/request_stages.cpp
+++ b/tools/gateway/src/request_stages.cpp
@@ -49,7 +49,9 @@
             shared_.budget(serviceOf(stage)).requestSeen(shared_.context.now());
         }
     }
-    submitReady();
+    auto path = makePath();
+    cell_ = shared_.pieces.chooseCell(request_.firstZone, path.steps);
+    submitReady(std::move(path));
 }
 
 void RequestStages::makeAgain()
@@ -85,24 +87,53 @@
     releaseAll();
 }
 
-void RequestStages::submitReady()
+void RequestStages::submitReady(std::optional<stages::PathRequest> path)
 {
-    std::unordered_map<routing::ServiceId, std::vector<stages::PieceOrder>> byService;
+    PieceBatch batch { cell_, wantedZone(), {}, std::move(path) };
+    std::vector<stages::PieceIndex> indices;
     for (const auto &piece : plan_.takeReady()) {
-        byService[serviceOf(piece.index.stage)].push_back(makeOrder(piece));
+        batch.pieces.push_back(makeOrder(piece));
+        indices.push_back(piece.index);
+    }
+    if (batch.pieces.empty()) {
+        return;
     }
-    for (auto &[service, orders] : byService) {
-        std::vector<stages::PieceIndex> indices;
-        for (const auto &order : orders) {
-            indices.push_back(order.index);
+    PieceHandlers handlers;
+    const auto weak = weak_from_this();
+    handlers.onPiece = [weak, indices](std::size_t index, const PieceOutcome &outcome) {
+        if (const auto self = weak.lock()) {
+            self->pieceDone(indices[index], outcome);
         }
-        auto callback = [weak = weak_from_this(), indices](std::size_t index, const PieceOutcome &outcome) {
-            if (const auto self = weak.lock()) {
-                self->pieceDone(indices[index], outcome);
-            }
-        };
-        submissions_.push_back(shared_.pieces.submit(service, wantedZone(), std::move(orders), std::move(callback)));
+    };
+    handlers.onRefused = [weak](const stages::PathDecision &decision) {
+        if (const auto self = weak.lock()) {
+            self->handlers_.onRefused(decision);
+        }
+    };
+    submissions_.push_back(shared_.pieces.submit(std::move(batch), std::move(handlers)));
+}
+
+stages::PathRequest RequestStages::makePath() const
+{
+    stages::PathRequest path;
+    path.id = request_.id;
+    path.receivedAt = request_.receivedAt;
+    path.target = route_.target;
+    path.afterStages = request_.afterStages;
+    path.rank = request_.rank;
+    path.relativeWorth = request_.relativeWorth;
+    path.isReturning = request_.isReturning;
+    for (std::uint32_t stage = 0; stage < route_.stages.size(); ++stage) {
+        path.steps.push_back({ serviceOf(stage), plan_.pieceCount(stage), dueOf(stage), route_.stages[stage].after });
     }
+    return path;
+}
+
+/** When a stage's pieces must be made if the request is to be on time. */
+Time RequestStages::dueOf(std::uint32_t stage) const
+{
+    return request_.receivedAt + route_.target - request_.afterStages
+        - stageReserve * std::int64_t(plan_.depthAfter(stage));
 }
 
 stages::PieceOrder RequestStages::makeOrder(const stages::ReadyPiece &piece) const
@@ -112,10 +143,11 @@
     const auto latest = Duration(std::int64_t(double(route_.target.count()) * latestOverTarget));
     stages::PieceOrder order;
     order.request = request_.id;
+    order.service = stage.service;
     order.index = piece.index;
     order.key = request_.pieceKey;
     order.inputs = piece.inputs;
-    order.due = request_.receivedAt + route_.target - engineReserve - stageReserve * following;
+    order.due = dueOf(piece.index.stage);
     order.limit = std::min(request_.deadline, request_.receivedAt + latest) - engineLeast - stageLeast * following;
     order.worth = request_.worth;
     order.resultBytes = stage.resultBytes;
--- a/tools/gateway/src/request_stages.h
+++ b/tools/gateway/src/request_stages.h
@@ -29,14 +29,19 @@
     std::vector<std::uint32_t> pieceCounts; ///< by stage
     Time receivedAt;
     Time deadline;
-    double worth = 1;
+    Duration afterStages {}; ///< that the engine will take
+    double worth = 1; ///< ranks its pieces when they are late
     AvailabilityZoneId firstZone; ///< where results are best made as long as there are none
+    int rank = 0; ///< 0 is the most urgent
+    double relativeWorth = 1; ///< credit for each piece, against the mean of its route
+    bool isReturning = false; ///< it was refused before
 };
 
 /** What becomes of the stages; called at most once for each time that they are made. */
 struct StagesHandlers {
     std::function<void()> onDone;
     std::function<void(std::string_view why)> onGivenUp;
+    std::function<void(const stages::PathDecision &decision)> onRefused; ///< instead, before anything is made
 };
 
 /** The stages of one request: has their pieces made, and gives up their results as soon as nothing needs them. */
@@ -52,7 +57,7 @@
     {
         return plan_;
     }
-    /** Starts the pieces that can be made. */
+    /** Asks a cell to admit the request, and starts the pieces that can be made. */
     void start();
     /** Makes the last stages again, with what they need: their results are gone. */
     void makeAgain();
@@ -70,16 +75,15 @@
     /** Takes back what isn't made and gives up what is. */
     void stop();
 
-    /** Time for the steps after the stages, in predictions. */
-    static constexpr Duration engineReserve = std::chrono::milliseconds(200);
-
 private:
     struct Result {
         HeldResult held;
         std::uint32_t stage = 0;
     };
 
-    void submitReady();
+    void submitReady(std::optional<stages::PathRequest> path = std::nullopt);
+    stages::PathRequest makePath() const;
+    Time dueOf(std::uint32_t stage) const;
     stages::PieceOrder makeOrder(const stages::ReadyPiece &piece) const;
     AvailabilityZoneId wantedZone() const;
     void pieceDone(stages::PieceIndex index, const PieceOutcome &outcome);
@@ -93,6 +97,7 @@
     StagesRequest request_;
     StagesHandlers handlers_;
     stages::StagePlan plan_;
+    stages::CellId cell_; ///< that makes the pieces
     std::vector<Submission> submissions_;
     std::unordered_map<stages::ResultHandle, Result> results_;
     int repeats_ = 0;
