gateway: the time of a caller that comes back counts from its first try

RefusedCallers keeps the first try's time and the VMs tell it; as long as the target can be met from there, pieces are due accordingly and go first. Ruled out: longer or shorter come-back times alone, which don't change what is due when.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -223,26 +223,40 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Callers that come back
 
+/** A request that was refused. */
+struct Refusal {
+    Fingerprint request;
+    Time firstTry; ///< when its caller sent it first
+};
+
 /**
  * Remembers which requests were refused lately, by their fingerprint.
  *
  * Load pattern: a burst whose refused requests come back, to any VM, while it still lasts. One that is refused again
- * has waited for nothing, so it goes before new ones. The VMs tell each other what they refused.
+ * has waited for nothing, so it goes before new ones, and its time counts from its first try. The VMs tell each other
+ * what they refused.
  */
 class RefusedCallers
 {
 public:
-    void refused(Fingerprint request, Time now);
+    void refused(const Refusal &refusal, Time now);
     /** Takes what another VM has refused. */
-    void merge(std::span<const Fingerprint> requests, Time now);
-    bool isReturning(Fingerprint request, Time now) const;
+    void merge(std::span<const Refusal> refusals, Time now);
+    /** When a request that comes back was sent first; empty for a new one. */
+    std::optional<Time> firstTry(Fingerprint request, Time now) const;
     /** Refusals that the other VMs were not told of yet; a bounded number. */
-    std::vector<Fingerprint> takeUntold();
+    std::vector<Refusal> takeUntold();
     void expire(Time now);
 
 private:
-    std::unordered_map<Fingerprint, Time> refusedAt_;
-    std::vector<Fingerprint> untold_;
+    struct Known {
+        Time firstTry;
+        Time refusedAt;
+    };
+    void keep(const Refusal &refusal, Time now);
+
+    std::unordered_map<Fingerprint, Known> known_;
+    std::vector<Refusal> untold_;
 };
 
 } // namespace lacewing::dispatch
--- a/libs/dispatch/src/refused_callers.cpp
+++ b/libs/dispatch/src/refused_callers.cpp
@@ -14,35 +14,45 @@
 
 } // namespace
 
-void RefusedCallers::refused(Fingerprint request, Time now)
+void RefusedCallers::refused(const Refusal &refusal, Time now)
 {
-    refusedAt_[request] = now;
+    keep(refusal, now);
     if (untold_.size() < mostTold) {
-        untold_.push_back(request);
+        untold_.push_back(refusal);
     }
 }
 
-void RefusedCallers::merge(std::span<const Fingerprint> requests, Time now)
+void RefusedCallers::merge(std::span<const Refusal> refusals, Time now)
 {
-    for (const auto request : requests) {
-        refusedAt_[request] = now;
+    for (const auto &refusal : refusals) {
+        keep(refusal, now);
     }
 }
 
-bool RefusedCallers::isReturning(Fingerprint request, Time now) const
+std::optional<Time> RefusedCallers::firstTry(Fingerprint request, Time now) const
 {
-    const auto found = refusedAt_.find(request);
-    return found != refusedAt_.end() && now - found->second <= memory;
+    const auto found = known_.find(request);
+    const bool isKnown = found != known_.end() && now - found->second.refusedAt <= memory;
+    return isKnown ? std::optional(found->second.firstTry) : std::nullopt;
 }
 
-std::vector<Fingerprint> RefusedCallers::takeUntold()
+std::vector<Refusal> RefusedCallers::takeUntold()
 {
     return std::exchange(untold_, {});
 }
 
 void RefusedCallers::expire(Time now)
 {
-    std::erase_if(refusedAt_, [&](const auto &item) { return now - item.second > memory; });
+    std::erase_if(known_, [&](const auto &item) { return now - item.second.refusedAt > memory; });
+}
+
+void RefusedCallers::keep(const Refusal &refusal, Time now)
+{
+    const auto [found, isNew] = known_.try_emplace(refusal.request, Known { refusal.firstTry, now });
+    if (!isNew) {
+        found->second.firstTry = std::min(found->second.firstTry, refusal.firstTry);
+        found->second.refusedAt = now;
+    }
 }
 
 } // namespace lacewing::dispatch
--- a/libs/dispatch/tests/dispatch_test.cpp
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -186,25 +186,36 @@
 {
     RefusedCallers here;
     RefusedCallers there;
-    here.refused(Fingerprint(7), start);
+    here.refused({ Fingerprint(7), start - 100ms }, start);
     const auto told = here.takeUntold();
     cr_assert_eq(told.size(), 1U);
     cr_assert(here.takeUntold().empty());
     there.merge(told, start);
-    cr_assert(here.isReturning(Fingerprint(7), start + 1s));
-    cr_assert(there.isReturning(Fingerprint(7), start + 1s));
-    cr_assert_not(there.isReturning(Fingerprint(8), start + 1s));
-    cr_assert_not(there.isReturning(Fingerprint(7), start + 10s));
+    for (const auto *vm : { &here, &there }) {
+        cr_assert_eq(vm->firstTry(Fingerprint(7), start + 1s).value(), start - 100ms);
+    }
+    cr_assert_not(there.firstTry(Fingerprint(8), start + 1s).has_value());
+    cr_assert_not(there.firstTry(Fingerprint(7), start + 10s).has_value());
+}
+
+Test(refusedCallers, timeCountsFromTheFirstOfSeveralTries)
+{
+    RefusedCallers callers;
+    callers.refused({ Fingerprint(7), start }, start);
+    callers.refused({ Fingerprint(7), start + 500ms }, start + 500ms);
+    cr_assert_eq(callers.firstTry(Fingerprint(7), start + 6200ms).value(), start);
+    callers.expire(start + 7s);
+    cr_assert_not(callers.firstTry(Fingerprint(7), start + 6200ms).has_value());
 }
 
 Test(refusedCallers, tellsABoundedNumber)
 {
     RefusedCallers callers;
     for (std::uint64_t request = 0; request < 1'000; ++request) {
-        callers.refused(Fingerprint(request), start);
+        callers.refused({ Fingerprint(request), start }, start);
     }
     cr_assert_eq(callers.takeUntold().size(), 64U);
-    cr_assert(callers.isReturning(Fingerprint(999), start));
+    cr_assert(callers.firstTry(Fingerprint(999), start).has_value());
 }
 
 Test(crashWatch, tellsACrashFromALostConnection)
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -184,14 +184,18 @@
     handlers.onBeacon = [this](const VmId &vm, const Beacon &beacon) {
         state_.heard(vm, beacon);
         pieces_.heard(vm, beacon.loads);
-        std::vector<Fingerprint> refused(beacon.refused.begin(), beacon.refused.end());
+        std::vector<dispatch::Refusal> refused;
+        for (const auto &message : beacon.refused) {
+            refused.push_back(
+                { Fingerprint(message.fingerprint), context_.now() - std::chrono::milliseconds(message.firstTryMs) });
+        }
         shared_.refused.merge(refused, context_.now());
     };
     handlers.fill = [this](Beacon &beacon) {
         beacon.loads = pieces_.loads();
         beacon.refused.clear();
-        for (const auto request : shared_.refused.takeUntold()) {
-            beacon.refused.push_back(request.value());
+        for (const auto &refusal : shared_.refused.takeUntold()) {
+            beacon.refused.push_back({ refusal.request.value(), toMilliseconds(context_.now() - refusal.firstTry) });
         }
     };
     handlers.onMembersChanged = [this] { pieces_.refresh(); };
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -22,6 +22,14 @@
     LACEWING_MEMBERS(service, cell, waitMs, callMs)
 };
 
+/** A request that a VM refused. */
+struct RefusedMessage {
+    std::uint64_t fingerprint = 0;
+    std::int64_t firstTryMs = 0; ///< since its caller sent it first
+
+    LACEWING_MEMBERS(fingerprint, firstTryMs)
+};
+
 /** Sent by each VM to the others, again and again: it is alive, and how far its view goes. */
 struct Beacon {
     std::string vm;
@@ -35,7 +43,7 @@
     std::uint64_t operatorEnd = 0; ///< offset up to which it knows the operator's records
     std::uint64_t endpointsEnd = 0; ///< offset up to which it knows endpoints' registrations
     std::vector<LoadMessage> loads; ///< of the services whose calls it fills
-    std::vector<std::uint64_t> refused; ///< fingerprints of requests that it refused since its last beacon
+    std::vector<RefusedMessage> refused; ///< since its last beacon
     bool followsStore = false; ///< it reads the store, and the store answers it
 
     LACEWING_MEMBERS(vm,
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -173,7 +173,7 @@
     stages.firstZone = placement_->sessionZone();
     stages.rank = rank();
     stages.relativeWorth = size * shared_.pieceCounts.learn(route_->id, pieces) / std::max(pieces, 1.0);
-    stages.isReturning = shared_.refused.isReturning(fingerprint_, now());
+    stages.firstTry = shared_.refused.firstTry(fingerprint_, now());
     StagesHandlers handlers;
     const auto weak = weak_from_this();
     handlers.onDone = [weak] {
@@ -443,7 +443,8 @@
 {
     net::Headers headers;
     if (comeBack) {
-        shared_.refused.refused(fingerprint_, now());
+        const auto before = shared_.refused.firstTry(fingerprint_, now());
+        shared_.refused.refused({ fingerprint_, before.value_or(request_.receivedAt) }, now());
         headers = userplatform::retryAfter(shared_.random.jitter(*comeBack, comeBackSpread));
     }
     writer_.respond(status, headers, {});
--- a/tools/gateway/src/request_stages.cpp
+++ b/tools/gateway/src/request_stages.cpp
@@ -49,6 +49,7 @@
             shared_.budget(serviceOf(stage)).requestSeen(shared_.context.now());
         }
     }
+    targetStart_ = findTargetStart();
     auto path = makePath();
     cell_ = shared_.pieces.chooseCell(request_.firstZone, path.steps);
     submitReady(std::move(path));
@@ -117,23 +118,34 @@
 {
     stages::PathRequest path;
     path.id = request_.id;
-    path.receivedAt = request_.receivedAt;
+    path.receivedAt = targetStart_;
     path.target = route_.target;
     path.afterStages = request_.afterStages;
     path.rank = request_.rank;
     path.relativeWorth = request_.relativeWorth;
-    path.isReturning = request_.isReturning;
+    path.isReturning = request_.firstTry.has_value();
     for (std::uint32_t stage = 0; stage < route_.stages.size(); ++stage) {
         path.steps.push_back({ serviceOf(stage), plan_.pieceCount(stage), dueOf(stage), route_.stages[stage].after });
     }
     return path;
 }
 
+/** From when the target counts: the caller's first try, as long as it can still be met from there. */
+Time RequestStages::findTargetStart() const
+{
+    std::uint32_t depth = 0;
+    for (std::uint32_t stage = 0; stage < route_.stages.size(); ++stage) {
+        depth = std::max(depth, plan_.pieceCount(stage) > 0 ? plan_.depthAfter(stage) + 1 : 0);
+    }
+    const Duration least = stageReserve * std::int64_t(depth) + request_.afterStages;
+    const bool canBeMet = request_.firstTry && request_.receivedAt + least <= *request_.firstTry + route_.target;
+    return canBeMet ? *request_.firstTry : request_.receivedAt;
+}
+
 /** When a stage's pieces must be made if the request is to be on time. */
 Time RequestStages::dueOf(std::uint32_t stage) const
 {
-    return request_.receivedAt + route_.target - request_.afterStages
-        - stageReserve * std::int64_t(plan_.depthAfter(stage));
+    return targetStart_ + route_.target - request_.afterStages - stageReserve * std::int64_t(plan_.depthAfter(stage));
 }
 
 stages::PieceOrder RequestStages::makeOrder(const stages::ReadyPiece &piece) const
--- a/tools/gateway/src/request_stages.h
+++ b/tools/gateway/src/request_stages.h
@@ -34,7 +34,7 @@
     AvailabilityZoneId firstZone; ///< where results are best made as long as there are none
     int rank = 0; ///< 0 is the most urgent
     double relativeWorth = 1; ///< credit for each piece, against the mean of its route
-    bool isReturning = false; ///< it was refused before
+    std::optional<Time> firstTry; ///< of a caller that was refused and comes back
 };
 
 /** What becomes of the stages; called at most once for each time that they are made. */
@@ -83,6 +83,7 @@
 
     void submitReady(std::optional<stages::PathRequest> path = std::nullopt);
     stages::PathRequest makePath() const;
+    Time findTargetStart() const;
     Time dueOf(std::uint32_t stage) const;
     stages::PieceOrder makeOrder(const stages::ReadyPiece &piece) const;
     AvailabilityZoneId wantedZone() const;
@@ -97,6 +98,7 @@
     StagesRequest request_;
     StagesHandlers handlers_;
     stages::StagePlan plan_;
+    Time targetStart_; ///< from when the target counts
     stages::CellId cell_; ///< that makes the pieces
     std::vector<Submission> submissions_;
     std::unordered_map<stages::ResultHandle, Result> results_;
