gateway: VMs that start know the others at once; an endpoint that declines is asked ever less often

The addresses are read at the start now, and the pause doubles to 320 ms. Finding on the way: gateway::vmsFillCallsTogether failed on every run once the stages answered sooner: it never waited for its VMs to hear each other and had passed by the time that their first requests took. It waits for that now.

--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -218,6 +218,7 @@
         double slowness = 1; ///< learned time of a call against the nominal one
         Time avoidUntil;
         Time triedAt; ///< last call
+        int declines = 0; ///< in a row
         std::uint64_t roomUsed = 0; ///< bytes of results held or being made
         std::uint64_t roomOpen = 0; ///< bytes of results being made
         bool isListed = true;
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -21,8 +21,11 @@
 /** A call without an answer counts as lost after this many times its expected time, and a bit. */
 constexpr double lostRatio = 4.0;
 constexpr Duration lostMargin = 400ms;
-/** An endpoint that declined a call, because other callers use it too, is asked again after this time. */
+/** An endpoint that declined a call, because other callers use it too, is asked again after this time, which doubles
+ * with each further one. */
 constexpr Duration declinedPause = 40ms;
+constexpr Duration longestDeclinedPause = 320ms;
+constexpr int mostDeclines = 8;
 /** An endpoint that lost a call is asked again after this time. */
 constexpr Duration lostPause = 400ms;
 /** From this many bytes on that would cross zones, a piece waits for an endpoint of its own zone. */
@@ -129,13 +132,15 @@
     line.piecesOpen = 0;
     switch (outcome) {
     case CallOutcome::Answered:
+        line.declines = 0;
         if (made > 0 && line.nominal > Duration::zero()) {
             const double ratio = toSeconds(now - line.startedAt) / toSeconds(line.nominal);
             line.slowness += slownessGain * (ratio - line.slowness);
         }
         break;
     case CallOutcome::Declined:
-        line.avoidUntil = now + declinedPause;
+        line.avoidUntil = now + std::min(declinedPause * (std::int64_t(1) << line.declines), longestDeclinedPause);
+        line.declines = std::min(line.declines + 1, mostDeclines);
         break;
     case CallOutcome::Lost:
         line.avoidUntil = now + lostPause;
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -219,6 +219,26 @@
     cr_assert_eq(f.scheduler.takeCalls(f.now + 100ms).size(), 1U);
 }
 
+/** Another VM that fills the same endpoint's calls, such as one that is cut off, is not driven out by asking. */
+Test(batchScheduler, callsThatAreDeclinedAgainAndAgainBecomeRare)
+{
+    Fixture f(1);
+    int tries = 0;
+    for (; f.now < start + 3s; f.now += 20ms) {
+        f.add();
+        for (const auto &call : f.scheduler.takeCalls(f.now)) {
+            ++tries;
+            f.scheduler.callEnded(call.endpoint, CallOutcome::Declined, 0, f.now);
+        }
+    }
+    cr_assert_leq(tries, 13); // 40, 80, 160 and then 320 ms apart
+    const auto taken = f.scheduler.takeCalls(f.now + 400ms);
+    cr_assert_eq(taken.size(), 1U);
+    f.scheduler.callEnded(taken[0].endpoint, CallOutcome::Answered, 4, f.now + 600ms);
+    f.scheduler.callEnded(f.scheduler.takeCalls(f.now + 600ms).at(0).endpoint, CallOutcome::Declined, 0, f.now + 600ms);
+    cr_assert_eq(f.scheduler.takeCalls(f.now + 640ms).size(), 1U, "an answered call starts the pauses anew");
+}
+
 Test(batchScheduler, endpointThatLeftGetsNoCall)
 {
     Fixture f(2);
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -16,10 +16,10 @@
 constexpr userplatform::WatchTimes endpointTimes { 1500ms, 350ms, 150ms };
 /** For the VMs' own addresses, which beacons tell too. */
 constexpr userplatform::WatchTimes vmTimes { 20s, 5s, 500ms };
-/** The VMs' addresses are read after this time, when those that start together have written theirs. */
-constexpr Duration vmsReadDelay = 500ms;
 /** VMs that follow the store for all: the loss of some leaves others, and the store's price is small. */
 constexpr std::size_t readerCount = 3;
+/** Until the other VMs should have been heard after a start, each reads the store for itself. */
+constexpr Duration firstReaderChoice = 500ms;
 /** Who reads is looked at this often: about as often as beacons come. */
 constexpr Duration readerPeriod = 200ms;
 /** Another VM is asked this often at most for what the store doesn't tell. */
@@ -58,8 +58,8 @@
     watch(Topic::Endpoints, endpointTimes);
     const auto &settings = context_.settings;
     store_.put(settings.vm.text(), settings.zone.text() + " " + links_.address());
-    context_.loop.timers().once(context_.now() + vmsReadDelay, [this](Time) { watch(Topic::Vms, vmTimes); });
-    context_.loop.timers().every(context_.now() + vmsReadDelay, readerPeriod, [this](Time) { chooseReaders(); });
+    watch(Topic::Vms, vmTimes);
+    context_.loop.timers().every(context_.now() + firstReaderChoice, readerPeriod, [this](Time) { chooseReaders(); });
     context_.loop.timers().every(context_.now() + expiryPeriod, expiryPeriod, [this](Time now) { expire(now); });
 }
 
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -267,6 +267,7 @@
                 && f.harness.ask(1, "POST", "/staged/x", sent, "b").status == 200;
         },
         "both VMs");
+    f.harness.waitForLinks();
     first.holdPieces();
     std::vector<std::shared_ptr<std::optional<Answer>>> answers;
     for (int request = 0; request < 24; ++request) {
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -141,6 +141,22 @@
     return *status;
 }
 
+void Harness::waitForLinks()
+{
+    for (const auto &vm : vms_) {
+        waitFor(
+            [&] {
+                std::ifstream log(vm.logPath);
+                std::size_t heard = 0;
+                for (std::string line; std::getline(log, line);) {
+                    heard += line.find("\"vm heard\"") != std::string::npos ? 1 : 0;
+                }
+                return heard + 1 >= vms_.size();
+            },
+            "the VMs to hear each other");
+    }
+}
+
 void Harness::signal(std::size_t vm, int number)
 {
     kill(vms_[vm].process, number);
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -71,6 +71,8 @@
 
     /** Runs the loop until the condition holds. Fails the test after a long time without. */
     void waitFor(const std::function<bool()> &condition, const char *what);
+    /** Runs the loop until each VM has heard all others. */
+    void waitForLinks();
 
     net::EventLoop &loop() noexcept
     {
