--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -279,6 +279,8 @@
 struct PathDecision {
     bool admitted = true;
     Duration predicted {}; ///< until the stages would be done
+    Duration limit {}; ///< which that might have been, with the request's rank and worth
+    bool keepsOthers = true; ///< nothing that was promised before becomes late
     Duration comeBackAfter {}; ///< if refused: when there should be room
     std::size_t ahead = 0; ///< pieces that go before it, at the stage with most of them
 };
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -196,8 +196,8 @@
         if (!line.isListed || isSlow(line, best)) {
             continue;
         }
-        const auto learned = [&](Duration nominal) {
-            return Duration(std::int64_t(double(nominal.count()) * line.slowness));
+        const auto learned = [slowness = line.slowness](Duration nominal) {
+            return Duration(std::int64_t(double(nominal.count()) * slowness));
         };
         const bool isFree = line.callsOpen < traits_.callsInWork;
         const Time free = isFree ? now : std::max(now, line.startedAt + learned(line.nominal));
--- a/libs/stages/src/path_planner.cpp
+++ b/libs/stages/src/path_planner.cpp
@@ -104,6 +104,8 @@
     decision.predicted = prediction.done - now + fromSeconds(errorMs_ / 1000) * std::int64_t(prediction.depth) + spread;
     const Duration limit = fromSeconds(toSeconds(request.target) * limitShare(request));
     const Duration total = now - request.receivedAt + decision.predicted + request.afterStages;
+    decision.limit = limit - (now - request.receivedAt) - request.afterStages;
+    decision.keepsOthers = prediction.keepsOthers;
     decision.admitted = (total <= limit || prediction.inQueues < shortWait) && prediction.keepsOthers;
     if (!decision.admitted) {
         decision.comeBackAfter = std::max(leastComeBack, total - limit);
--- a/libs/stages/tests/path_planner_test.cpp
+++ b/libs/stages/tests/path_planner_test.cpp
@@ -168,7 +168,10 @@
     Cell cell(1);
     // 400 ms of work that is due in 420 ms: there is no room for a piece before it.
     cell.addPieces(first, "others", 20, start + 420ms);
-    cr_assert_not(cell.planner.decide(single(first, "urgent", start + 300ms, 5), start).admitted);
+    const auto decision = cell.planner.decide(single(first, "urgent", start + 300ms, 5), start);
+    cr_assert_not(decision.admitted);
+    cr_assert_not(decision.keepsOthers);
+    cr_assert_geq(decision.limit, decision.predicted);
     cr_assert(cell.planner.decide(single(first, "later", start + 700ms, 5), start).admitted);
 }
 
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -124,10 +124,12 @@
 /** The cell has no time for the request's path; none of its pieces are made. */
 struct RefusalMessage {
     std::int64_t predictedMs = 0; ///< until the stages would be done
+    std::int64_t limitMs = 0; ///< which that might have been
+    bool keepsOthers = true; ///< nothing that was promised before becomes late
     std::int64_t comeBackMs = 0;
     std::uint64_t ahead = 0; ///< pieces that go before it, at the stage with most of them
 
-    LACEWING_MEMBERS(predictedMs, comeBackMs, ahead)
+    LACEWING_MEMBERS(predictedMs, limitMs, keepsOthers, comeBackMs, ahead)
 };
 struct PieceResults {
     std::vector<PieceResult> results;
--- a/tools/gateway/src/piece_codec.cpp
+++ b/tools/gateway/src/piece_codec.cpp
@@ -154,15 +154,23 @@
 
 RefusalMessage toMessage(const stages::PathDecision &decision)
 {
-    return { toMilliseconds(decision.predicted), toMilliseconds(decision.comeBackAfter), decision.ahead };
+    return { toMilliseconds(decision.predicted),
+             toMilliseconds(decision.limit),
+             decision.keepsOthers,
+             toMilliseconds(decision.comeBackAfter),
+             decision.ahead };
 }
 
 stages::PathDecision toDecision(const RefusalMessage &message)
 {
-    return { false,
-             std::chrono::milliseconds(message.predictedMs),
-             std::chrono::milliseconds(message.comeBackMs),
-             static_cast<std::size_t>(message.ahead) };
+    stages::PathDecision decision;
+    decision.admitted = false;
+    decision.predicted = std::chrono::milliseconds(message.predictedMs);
+    decision.limit = std::chrono::milliseconds(message.limitMs);
+    decision.keepsOthers = message.keepsOthers;
+    decision.comeBackAfter = std::chrono::milliseconds(message.comeBackMs);
+    decision.ahead = static_cast<std::size_t>(message.ahead);
+    return decision;
 }
 
 LoadMessage toMessage(const stages::CellId &cell, const stages::ServiceWait &wait)
--- a/tools/gateway/src/request_run.cpp
+++ b/tools/gateway/src/request_run.cpp
@@ -143,6 +143,8 @@
     shared_.decisions.write("stages too busy",
                             { { "request", facts_.id },
                               { "predicted_ms", toMilliseconds(decision.predicted) },
+                              { "limit_ms", toMilliseconds(decision.limit) },
+                              { "others_late", !decision.keepsOthers },
                               { "target_ms", toMilliseconds(route_->target) },
                               { "rank", rank() },
                               { "pieces_ahead", decision.ahead },
