gateway: a call that may wait at a leaving endpoint is closed before the drain bound

Change: after 0.6 of the drain bound a call without an answer is closed, its pieces are made elsewhere.

--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -161,6 +161,16 @@
     void setTraits(const routing::BatchTraits &traits);
     /** Replaces the endpoints; calls in progress at others are left to end. */
     void setEndpoints(const std::vector<BatchEndpoint> &endpoints);
+    /** Sets how long a call may still wait for its turn at an endpoint that has left the list. */
+    void setLeaveLimit(Duration limit) noexcept
+    {
+        leaveLimit_ = limit;
+    }
+    /**
+     * Endpoints that have left the list and whose call has no answer for the limit: it may be waiting there, behind
+     * slow ones, and would begin too late. Each once; its calls have to be closed, and ended as lost.
+     */
+    std::vector<EndpointId> takeOverstayed(Time now);
     /** Passes an endpoint over for a while, such as after a lost call. */
     void avoid(const EndpointId &endpoint, Time until);
 
@@ -222,6 +232,8 @@
         std::uint64_t roomUsed = 0; ///< bytes of results held or being made
         std::uint64_t roomOpen = 0; ///< bytes of results being made
         bool isListed = true;
+        std::optional<Time> leftAt; ///< seen to be no longer listed
+        bool isClosing = false; ///< told by takeOverstayed()
     };
     struct Held {
         EndpointId endpoint;
@@ -242,6 +254,7 @@
     void sortOrders(Time now);
 
     routing::BatchTraits traits_;
+    Duration leaveLimit_ = std::chrono::seconds(1);
     std::vector<PieceOrder> orders_;
     std::unordered_map<AvailabilityZoneId, std::size_t> waitingByZone_; ///< pieces that are best made there
     std::unordered_map<EndpointId, Line> lines_;
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -60,10 +60,28 @@
         Line &line = lines_[endpoint.id];
         line.endpoint = endpoint;
         line.isListed = true;
+        line.leftAt.reset();
+        line.isClosing = false;
     }
     std::erase_if(lines_, [](const auto &item) { return !item.second.isListed && item.second.callsOpen == 0; });
 }
 
+std::vector<EndpointId> BatchScheduler::takeOverstayed(Time now)
+{
+    std::vector<EndpointId> overstayed;
+    for (auto &[id, line] : lines_) {
+        if (line.isListed || line.callsOpen == 0) {
+            continue;
+        }
+        line.leftAt = line.leftAt.value_or(now);
+        if (!line.isClosing && now >= *line.leftAt + leaveLimit_) {
+            line.isClosing = true;
+            overstayed.push_back(id);
+        }
+    }
+    return overstayed;
+}
+
 void BatchScheduler::avoid(const EndpointId &endpoint, Time until)
 {
     const auto found = lines_.find(endpoint);
@@ -262,11 +280,16 @@
 
 std::optional<Time> BatchScheduler::nextDue() const
 {
-    if (orders_.empty()) {
-        return std::nullopt;
-    }
     std::optional<Time> next;
     const auto consider = [&](Time time) { next = next ? std::min(*next, time) : time; };
+    for (const auto &[id, line] : lines_) {
+        if (line.leftAt && !line.isClosing) {
+            consider(*line.leftAt + leaveLimit_);
+        }
+    }
+    if (orders_.empty()) {
+        return next;
+    }
     for (const auto &order : orders_) {
         consider(std::max(order.limit - nominalTime(1), order.limit - expiryPeriod));
     }
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -239,6 +239,42 @@
     cr_assert_eq(f.scheduler.takeCalls(f.now + 640ms).size(), 1U, "an answered call starts the pauses anew");
 }
 
+struct LeaveCase {
+    bool left;
+    int afterMs; ///< since it was seen to have left
+    bool closed;
+};
+
+LeaveCase leaveCases[] = { { true, 1100, false }, { true, 1200, true }, { false, 5000, false } };
+
+ParameterizedTestParameters(batchScheduler, callsThatWaitAtALeavingEndpointAreClosed)
+{
+    return cr_make_param_array(LeaveCase, leaveCases, std::size(leaveCases));
+}
+
+ParameterizedTest(LeaveCase *test, batchScheduler, callsThatWaitAtALeavingEndpointAreClosed)
+{
+    Fixture f(1);
+    f.scheduler.setLeaveLimit(1200ms);
+    f.add();
+    cr_assert_eq(f.scheduler.takeCalls(f.now).size(), 1U);
+    if (test->left) {
+        f.scheduler.setEndpoints({});
+    }
+    cr_assert(f.scheduler.takeOverstayed(f.now).empty());
+    cr_assert_eq(f.scheduler.nextDue().has_value(), test->left);
+    f.now += std::chrono::milliseconds(test->afterMs);
+    const auto overstayed = f.scheduler.takeOverstayed(f.now);
+    cr_assert_eq(overstayed.size(), test->closed ? 1U : 0U);
+    cr_assert(f.scheduler.takeOverstayed(f.now).empty(), "told once");
+    if (test->closed) {
+        cr_assert_eq(overstayed[0], EndpointId("e0"));
+        f.scheduler.callEnded(overstayed[0], CallOutcome::Lost, 0, f.now);
+        cr_assert_eq(f.scheduler.endpoints(), 0U);
+        cr_assert_not(f.scheduler.nextDue().has_value());
+    }
+}
+
 Test(batchScheduler, endpointThatLeftGetsNoCall)
 {
     Fixture f(2);
--- a/tools/gateway/src/call_filler.cpp
+++ b/tools/gateway/src/call_filler.cpp
@@ -13,6 +13,10 @@
  * starts. */
 constexpr Duration gatherTime = 2ms;
 constexpr Duration connectLimit = 300ms;
+/** Share of the time in which an endpoint that leaves may begin work, for calls that it may not have begun: the rest is
+ * for the way of the news. */
+constexpr int leaveShareNumerator = 3;
+constexpr int leaveShareDenominator = 5;
 /** An endpoint to which no connection could be made is left out for this time. */
 constexpr Duration unreachableTime = 700ms;
 /** Results that were given up are told to their endpoint together after this time. */
@@ -55,6 +59,7 @@
     , cell_(std::move(cell))
     , scheduler_({})
 {
+    scheduler_.setLeaveLimit(shared_.context.settings.drainBound * leaveShareNumerator / leaveShareDenominator);
     refresh();
 }
 
@@ -116,6 +121,9 @@
 
 void CallFiller::start()
 {
+    for (const auto &endpoint : scheduler_.takeOverstayed(now())) {
+        closeCalls(endpoint);
+    }
     for (const auto &order : scheduler_.takeExpired(now())) {
         tell(order.ticket, { std::nullopt, PieceFailure::Late });
     }
@@ -140,12 +148,40 @@
     shared_.fullness.observe(double(call.pieces.size()) / double(traits_.piecesPerCall));
     const Duration limit = scheduler_.callLimit(call);
     auto request = userplatform::makePiecesCall(*entry, call.pieces, now());
-    net::fetch(shared_.client,
-               std::move(request),
-               { connectLimit, limit, limit, 0s },
-               [this, call = std::move(call)](const net::HttpEnd &end, const net::HttpResponse &response) {
-                   ended(call, end, response);
-               });
+    const std::uint64_t number = ++lastCall_;
+    const auto handle = net::fetch(shared_.client,
+                                   std::move(request),
+                                   { connectLimit, limit, limit, 0s },
+                                   [this, number](const net::HttpEnd &end, const net::HttpResponse &response) {
+                                       const auto open = openCalls_.extract(number);
+                                       if (!open.empty()) {
+                                           ended(open.mapped().call, end, response);
+                                       }
+                                   });
+    openCalls_.emplace(number, OpenCall { std::move(call), handle });
+}
+
+/** Closes what may still wait at an endpoint that leaves; its pieces are made elsewhere. */
+void CallFiller::closeCalls(const EndpointId &endpoint)
+{
+    std::vector<OpenCall> closed;
+    std::erase_if(openCalls_, [&](auto &item) {
+        const bool isThere = item.second.call.endpoint == endpoint;
+        if (isThere) {
+            closed.push_back(std::move(item.second));
+        }
+        return isThere;
+    });
+    for (const auto &open : closed) {
+        shared_.client.cancel(open.handle);
+        shared_.context.logger.state(
+            "call closed",
+            { { "service", service_ }, { "endpoint", endpoint }, { "pieces", open.call.pieces.size() } });
+        scheduler_.callEnded(endpoint, stages::CallOutcome::Lost, 0, now());
+        for (const auto &piece : open.call.pieces) {
+            tell(piece.ticket, { std::nullopt, PieceFailure::Failed });
+        }
+    }
 }
 
 void CallFiller::ended(const stages::BatchCall &call, const net::HttpEnd &end, const net::HttpResponse &response)
--- a/tools/gateway/src/call_filler.h
+++ b/tools/gateway/src/call_filler.h
@@ -72,6 +72,7 @@
     void start();
     void send(stages::BatchCall call);
     void ended(const stages::BatchCall &call, const net::HttpEnd &end, const net::HttpResponse &response);
+    void closeCalls(const EndpointId &endpoint);
     void made(const stages::BatchCall &call, const std::vector<userplatform::PieceAnswer> &answers);
     void notMade(const stages::BatchCall &call, const net::HttpEnd &end, const net::HttpHead &head);
     void addAgain(const stages::BatchCall &call);
@@ -88,6 +89,12 @@
     stages::CellId cell_;
     routing::BatchTraits traits_;
     stages::BatchScheduler scheduler_;
+    struct OpenCall {
+        stages::BatchCall call;
+        net::HttpCallHandle handle;
+    };
+    std::map<std::uint64_t, OpenCall> openCalls_; ///< by a number of their own
+    std::uint64_t lastCall_ = 0;
     std::unordered_map<stages::PieceTicket, Callback> callbacks_;
     std::map<EndpointId, std::vector<stages::ResultHandle>> releases_; ///< to be told to their endpoints
     TimerHandle timer_;
