stages: an admitted request is predicted once, not twice

Cause: decide() and admit() each ran the prediction, on the path of every request with stages. tryAdmit() does both with one; decide() and admit() stay for those that need one of them. An include that nothing used goes. Ruled out: keeping the prediction in the decision, which would make it a part of what callers see.

--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -324,6 +324,8 @@
     PathDecision decide(const PathRequest &request, Time now) const;
     /** Keeps what a request will need. */
     void admit(const PathRequest &request, Time now);
+    /** Decides, and keeps what the request will need if it is admitted. */
+    PathDecision tryAdmit(const PathRequest &request, Time now);
     /** The pieces of a stage have been handed to the scheduler. */
     void stageReady(const RequestId &request, std::uint32_t stage);
     /** All pieces of a request's last stages are made: shows how good the prediction was. */
@@ -366,6 +368,8 @@
         Duration inQueues {}; ///< time behind other requests' pieces
     };
     Prediction predict(const PathRequest &request, Time now) const;
+    PathDecision judge(const PathRequest &request, const Prediction &prediction, Time now) const;
+    void keep(const PathRequest &request, const Prediction &prediction);
     struct Outlook {
         Time started; ///< the last piece
         Duration call {};
--- a/libs/stages/src/path_planner.cpp
+++ b/libs/stages/src/path_planner.cpp
@@ -89,8 +89,22 @@
 }
 
 PathDecision PathPlanner::decide(const PathRequest &request, Time now) const
+{
+    return judge(request, predict(request, now), now);
+}
+
+PathDecision PathPlanner::tryAdmit(const PathRequest &request, Time now)
 {
     const Prediction prediction = predict(request, now);
+    const PathDecision decision = judge(request, prediction, now);
+    if (decision.admitted) {
+        keep(request, prediction);
+    }
+    return decision;
+}
+
+PathDecision PathPlanner::judge(const PathRequest &request, const Prediction &prediction, Time now) const
+{
     PathDecision decision;
     decision.ahead = prediction.ahead;
     if (prediction.done == Time::max()) {
@@ -154,9 +168,13 @@
 }
 
 void PathPlanner::admit(const PathRequest &request, Time now)
+{
+    keep(request, predict(request, now));
+}
+
+void PathPlanner::keep(const PathRequest &request, const Prediction &prediction)
 {
     ended(request.id);
-    const Prediction prediction = predict(request, now);
     Commitment commitment;
     commitment.predicted = prediction.done;
     commitment.depth = prediction.depth;
--- a/libs/stages/tests/path_planner_test.cpp
+++ b/libs/stages/tests/path_planner_test.cpp
@@ -4,7 +4,6 @@
 #include <criterion/parameterized.h>
 
 #include <map>
-#include <set>
 
 using namespace lacewing;
 using namespace lacewing::stages;
@@ -308,11 +307,10 @@
     {
         ++asked;
         const PathRequest request = chain("r" + std::to_string(asked), now_, 4);
-        if (!cell_.planner.decide(request, now_).admitted) {
+        if (!cell_.planner.tryAdmit(request, now_).admitted) {
             return;
         }
         ++admitted;
-        cell_.planner.admit(request, now_);
         receivedAt_[request.id] = now_;
         submit(request.id, 0);
     }
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -322,12 +322,7 @@
     for (const auto &step : path.steps) {
         filler(step.service, cell);
     }
-    auto &planner = cells_[cell].planner;
-    const auto decision = planner.decide(path, context_.now());
-    if (decision.admitted) {
-        planner.admit(path, context_.now());
-    }
-    return decision;
+    return cells_[cell].planner.tryAdmit(path, context_.now());
 }
 
 void PieceService::place(const OpenPtr &open)
