Gateway: log lost connections and whether they are taken for a crash

The logs had a line only for crashes that were noticed.

Now each connection that is lost with a request in flight, each suspect received from another VM, and the number of lost connections that were never taken for a crash are logged.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -185,7 +185,8 @@
     void onConnectionLost(const EndpointId &endpoint, Fingerprint request, Time now);
     /** Called when no connection can be established. @return requests in flight at the crash, each reported once */
     std::vector<Fingerprint> onUnreachable(const EndpointId &endpoint, Time now);
-    void expire(Time now);
+    /** Removes old lost requests. @return number of lost requests that were not found to be due to a crash */
+    std::size_t expire(Time now);
 
 private:
     struct LostRequest {
--- a/libs/dispatch/src/crash_detector.cpp
+++ b/libs/dispatch/src/crash_detector.cpp
@@ -37,12 +37,14 @@
     return requests;
 }
 
-void CrashDetector::expire(Time now)
+std::size_t CrashDetector::expire(Time now)
 {
+    std::size_t expired = 0;
     for (auto &[endpoint, requests] : lostRequests_) {
-        std::erase_if(requests, [&](const LostRequest &lost) { return now - lost.lostAt > crashWindow; });
+        expired += std::erase_if(requests, [&](const LostRequest &lost) { return now - lost.lostAt > crashWindow; });
     }
     std::erase_if(lostRequests_, [](const auto &item) { return item.second.empty(); });
+    return expired;
 }
 
 } // namespace lacewing::dispatch
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -98,7 +98,9 @@
         prefixCache_.expire(now);
         suspects_.expire(now);
         shared_.rejectionHistory.expire(now);
-        shared_.crashDetector.expire(now);
+        if (const std::size_t expired = shared_.crashDetector.expire(now); expired > 0) {
+            context_.logger.state("lost connections not attributed to a crash", { { "requests", expired } });
+        }
     });
     context_.loop.run();
     return 0;
@@ -178,6 +180,9 @@
     handlers.onRelease = [this](const ReleaseMessage &message) { pieces_.serve(message); };
     handlers.onSuspect = [this](const SuspectMessage &message) {
         suspects_.merge(Fingerprint(message.fingerprint), static_cast<int>(message.crashes), context_.now());
+        context_.logger.state(
+            "suspect request received",
+            { { "fingerprint", Fingerprint(message.fingerprint) }, { "crashes", std::size_t(message.crashes) } });
     };
     handlers.onPieces = [this](PiecesRequest request, peer::PeerCallWriter writer) {
         pieces_.serve(std::move(request), std::move(writer));
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -399,6 +399,10 @@
     ++attemptCount_;
     mayHaveRun_ = true;
     if (end.error->kind == ErrorKind::ConnectionLost) {
+        shared_.decisionLog.write(
+            "connection lost",
+            { { "request", facts_.id }, { "fingerprint", fingerprint_ }, { "endpoint", attempt_->endpoint() } },
+            now());
         shared_.crashDetector.onConnectionLost(attempt_->endpoint(), fingerprint_, now());
     }
     closeAttempt(dispatch::SendOutcome::Failed);
