Tests: a poison request is sent on by VMs that don't send to the same endpoint twice

A request crashes each endpoint that runs it and is sent to another VM each time, also to one that starts later.

The harness let the gateways inherit the listeners of the endpoints, so that a crashed endpoint still accepted connections; they are closed in the child now. VMs can be started later than others.

--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -383,6 +383,71 @@
     f.harness.waitFor([&] { return f.plain.abandonedCount() == 1; }, "the endpoint to see the cancellation");
 }
 
+Test(gateway, requestThatCrashedThreeEndpointsIsNotSentByAnyVm)
+{
+    constexpr std::size_t vms = 4;
+    constexpr std::size_t lateVm = vms - 1;
+    constexpr std::size_t engines = 8;
+    Harness harness(vms);
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        harness.addEndpoint("g" + std::to_string(engine), "engine", Behaviour::Crash);
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start(0, lateVm);
+    harness.waitForLinks();
+    const auto executions = [&] {
+        std::size_t count = 0;
+        for (const auto &endpoint : harness.endpoints()) {
+            count += endpoint->executionCount();
+        }
+        return count;
+    };
+    // The caller sends it to another VM each time, so no VM has a reason of its own to connect to an endpoint again.
+    for (std::size_t vm = 0; vm < lateVm; ++vm) {
+        const auto response = harness.sendAndWait(vm, "POST", "/stream/x", headers("1-" + std::to_string(vm)), "poison");
+        cr_assert_eq(response.status, 502, "%d", response.status);
+        harness.waitForLogLines({ 0, 1, 2 }, "\"suspect request\"", vm + 1);
+    }
+    harness.waitForLogLines({ 0, 1 }, "\"quarantine received\"", 2);
+    for (std::size_t vm = 0; vm < lateVm; ++vm) {
+        const auto response = harness.sendAndWait(vm, "POST", "/stream/x", headers("2-" + std::to_string(vm)), "poison");
+        cr_assert_eq(response.status, 503, "vm %zu: %d", vm, response.status);
+        cr_assert(findRetryAfter(response.headers).has_value());
+    }
+    harness.start(lateVm, 1);
+    harness.waitForLogLines({ lateVm }, "\"quarantine received\"", 1);
+    const auto response = harness.sendAndWait(lateVm, "POST", "/stream/x", headers("3"), "poison");
+    cr_assert_eq(response.status, 503, "late vm: %d", response.status);
+    cr_assert_eq(executions(), 3U, "%zu", executions());
+}
+
+Test(gateway, requestQuarantinedDuringItsStagesIsNotSent)
+{
+    Harness harness(1);
+    for (const auto *engine : { "g1", "g2", "g3", "g4" }) {
+        harness.addEndpoint(engine, "engine", Behaviour::Crash);
+    }
+    auto &first = harness.addEndpoint("s1", "first", Behaviour::Respond);
+    harness.addEndpoint("s2", "second", Behaviour::Respond);
+    first.holdPieceCalls();
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    const auto waiting = harness.sendAsync(0, "POST", "/staged/x", stagedHeaders("1", { 1, 1 }), "poison");
+    harness.waitFor([&] { return !first.pieceCalls().empty(); }, "a call for pieces");
+    for (std::size_t crash = 1; crash <= 3; ++crash) {
+        harness.sendAndWait(0, "POST", "/staged/x", headers("2-" + std::to_string(crash)), "poison");
+        harness.waitForLogLines({ 0 }, "\"suspect request\"", crash);
+    }
+    first.releaseHeldResponses();
+    harness.waitFor([&] { return waiting->has_value(); }, "a response");
+    cr_assert_eq((*waiting)->status, 503, "%d", (*waiting)->status);
+    std::size_t executions = 0;
+    for (const auto &endpoint : harness.endpoints()) {
+        executions += endpoint->executionCount();
+    }
+    cr_assert_eq(executions, 3U, "%zu", executions);
+}
+
 Test(gateway, timeoutEndsOnlyItsOwnRequest)
 {
     Fixture f(Behaviour::Hold);
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -21,6 +22,8 @@
 /** Ends a test that hangs; no check depends on its length. */
 constexpr Duration waitTimeout = 30s;
 constexpr Duration pollInterval = 5ms;
+/** More than a test has open. */
+constexpr int maxDescriptors = 1024;
 
 } // namespace
 
@@ -72,7 +75,13 @@
 
 void Harness::start()
 {
-    for (auto &vm : vms_) {
+    start(0, vms_.size());
+}
+
+void Harness::start(std::size_t first, std::size_t count)
+{
+    for (std::size_t index = first; index < first + count; ++index) {
+        Vm &vm = vms_[index];
         const std::string base = "/tmp/lacewing-gateway-test-" + std::to_string(getpid()) + "-" + vm.name;
         vm.settingsPath = base + ".toml";
         vm.logPath = base + ".log";
@@ -89,11 +98,15 @@
             const int log = open(vm.logPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
+            // The gateway must not inherit the listeners, or an endpoint that crashes would still accept connections.
+            for (int descriptor = STDERR_FILENO + 1; descriptor < maxDescriptors; ++descriptor) {
+                close(descriptor);
+            }
             execv(program.c_str(), arguments);
             _exit(127);
         }
     }
-    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    for (std::size_t vm = first; vm < first + count; ++vm) {
         waitFor([&] { return readiness(vm) == net::status::ok; }, "ready");
     }
 }
@@ -143,18 +156,35 @@
 
 void Harness::waitForLinks()
 {
+    const auto runningVms = static_cast<std::size_t>(
+        std::count_if(vms_.begin(), vms_.end(), [](const Vm &vm) { return vm.process > 0; }));
     for (const auto &vm : vms_) {
-        waitFor(
-            [&] {
-                std::ifstream log(vm.logPath);
-                std::size_t liveVms = 0;
-                for (std::string line; std::getline(log, line);) {
-                    liveVms += line.find("\"vm live\"") != std::string::npos ? 1 : 0;
-                }
-                return liveVms + 1 >= vms_.size();
-            },
-            "heartbeats between all VMs");
+        if (vm.process > 0) {
+            waitFor([&] { return countLogLines(vm, "\"vm live\"") + 1 >= runningVms; }, "heartbeats between all VMs");
+        }
+    }
+}
+
+void Harness::waitForLogLines(const std::vector<std::size_t> &vms, const std::string &text, std::size_t count)
+{
+    const auto isLogged = [&] {
+        std::size_t lines = 0;
+        for (const auto vm : vms) {
+            lines += countLogLines(vms_[vm], text);
+        }
+        return lines >= count;
+    };
+    waitFor(isLogged, text.c_str());
+}
+
+std::size_t Harness::countLogLines(const Vm &vm, const std::string &text) const
+{
+    std::ifstream log(vm.logPath);
+    std::size_t lines = 0;
+    for (std::string line; std::getline(log, line);) {
+        lines += line.find(text) != std::string::npos ? 1 : 0;
     }
+    return lines;
 }
 
 void Harness::signal(std::size_t vm, int number)
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -42,8 +42,10 @@
     platform_standin::Endpoint &addEndpoint(const std::string &id,
                                             const std::string &service,
                                             platform_standin::Endpoint::Behaviour behaviour);
-    /** Starts the gateways and waits until all are ready. */
+    /** Starts all gateways and waits until they are ready. */
     void start();
+    /** Starts the gateways of some VMs and waits until they are ready. */
+    void start(std::size_t first, std::size_t count);
 
     /** Sends a request and waits for the response. */
     Response sendAndWait(std::size_t vm,
@@ -71,8 +73,10 @@
 
     /** Runs the event loop until the condition holds; fails the test after 30 s. */
     void waitFor(const std::function<bool()> &condition, const char *what);
-    /** Runs the event loop until each VM has received heartbeats from all others. */
+    /** Runs the event loop until each running VM has received heartbeats from all others. */
     void waitForLinks();
+    /** Runs the event loop until the VMs together have logged a text at least so many times. */
+    void waitForLogLines(const std::vector<std::size_t> &vms, const std::string &text, std::size_t count);
 
     net::EventLoop &loop() noexcept
     {
@@ -89,6 +93,7 @@
 
 private:
     std::string ipOf(std::size_t host) const;
+    std::size_t countLogLines(const Vm &vm, const std::string &text) const;
 
     net::EventLoop loop_;
     std::string network_; ///< first three octets of the loopback addresses of this test
