net: a call that only sets up a connection

HttpCall::connectOnly opens a fresh connection and pools it, without sending anything. It tells whether a server accepts connections; a pooled connection would not.

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -300,6 +300,7 @@
     std::string body;
     bool repeatable = false; ///< may be sent again on a fresh connection when a pooled one turns out dead
     bool resendWhenLost = true; ///< if repeatable, also when the pooled one was closed, which may be a crash
+    bool connectOnly = false; ///< sends nothing: sets up a fresh connection, which is pooled, and ends
     /**
      * A header that the server repeats in its response. A response with another value belongs to an earlier request of
      * the connection and is passed over; one without the header is taken.
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -41,7 +41,7 @@
         endLater({ ErrorKind::InvalidArgument, "the request can't be written" });
         return;
     }
-    connection_ = pool_.takeIdle(call_.address, call_.repeatable);
+    connection_ = call_.connectOnly ? nullptr : pool_.takeIdle(call_.address, call_.repeatable);
     if (!connection_) {
         connectFresh();
         return;
@@ -72,6 +72,11 @@
         return;
     }
     ++pool_.counters().connects;
+    if (call_.connectOnly) {
+        pool_.giveBack(std::exchange(connection_, nullptr));
+        end(std::nullopt);
+        return;
+    }
     sendRequest();
 }
 
--- a/libs/net/tests/client_test.cpp
+++ b/libs/net/tests/client_test.cpp
@@ -244,6 +244,27 @@
     cr_assert_eq(fixture.client.counters().connects, 2);
 }
 
+Test(client, connectOnlyPoolsAFreshConnectionAndSendsNothing)
+{
+    HttpFixture fixture(echo);
+    fixture.fetchOne(fixture.call("/", "1"));
+    auto connect = fixture.call("/");
+    connect.connectOnly = true;
+    std::optional<HttpEnd> end;
+    HttpHandlers handlers;
+    handlers.onDone = [&](const HttpEnd &done) {
+        end = done;
+        fixture.loop.stop();
+    };
+    fixture.client.start(std::move(connect), longLimits(), std::move(handlers));
+    fixture.loop.run();
+    cr_assert(end && !end->error && !end->requestWritten && !end->headReceived);
+    cr_assert_eq(fixture.client.counters().connects, 2, "a pooled connection does not show that the server is up");
+    cr_assert_eq(fixture.client.counters().idleConnections, 2);
+    cr_assert(fixture.fetchOne(fixture.call("/", "2")).body == "2");
+    cr_assert_eq(fixture.client.counters().connects, 2);
+}
+
 Test(client, boundOnConnectionsDeclinesWithoutSending)
 {
     ResponseWriter first;
