Gateway: notice each crash of an endpoint, and count crashes as a set

Cause: a crash was inferred from two events that had to coincide at one VM: a connection lost with the request in flight, and a failed connection attempt to the same endpoint within 1.5 s, which only another request could cause. The larger the fleet, the rarer. Those crashes that were noticed were merged as a count, of which the higher was kept: of two that different VMs noticed at the same time one was forgotten, and one that two VMs noticed could count twice.

Fix: each lost connection is followed by a connection attempt of its own, one for each endpoint at a time; the connection is pooled if it succeeds. Where that can't tell, as the endpoint went dark or is back already, the end of its lifetime in the directory does. Crashes are identified by endpoint and incarnation and merged as a set. As crashes are noticed now, many requests become suspects by coincidence, and identical requests share a fingerprint: one that succeeds is cleared. An attempt that failed for lack of a free connection no longer counts as an unreachable endpoint.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -172,19 +172,29 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Requests that crash endpoints
 
+/** Requests that were in flight when an endpoint crashed. */
+struct Crash {
+    routing::EndpointLifetime endpoint;
+    std::vector<Fingerprint> requests; ///< each once
+};
+
 /**
  * Distinguishes a crash of an endpoint from a lost connection.
  *
- * An endpoint has crashed if it refuses new connections soon after connections to it were lost. The requests of these
- * connections are recorded for that time.
+ * A connection may also be lost because of the network or of a fault in a single response. An endpoint has crashed if
+ * it refuses new connections soon after connections to it were lost, or if the directory shows a bit later that its
+ * lifetime has ended. In a large fleet a VM rarely sends to the same endpoint twice within this time, so the caller has
+ * to attempt a connection after each loss.
  */
 class CrashDetector
 {
 public:
     /** Called when a connection is lost while the endpoint executes a request. */
-    void onConnectionLost(const EndpointId &endpoint, Fingerprint request, Time now);
+    void onConnectionLost(const routing::EndpointLifetime &endpoint, Fingerprint request, Time now);
     /** Called when no connection can be established. @return requests in flight at the crash, each reported once */
-    std::vector<Fingerprint> onUnreachable(const EndpointId &endpoint, Time now);
+    std::vector<Fingerprint> onUnreachable(const routing::EndpointLifetime &endpoint, Time now);
+    /** Called when the directory has changed. @return crashes of endpoints whose lifetime has ended, each once */
+    std::vector<Crash> takeEnded(const routing::EndpointDirectory &directory, Time now);
     /** Removes old lost requests. @return number of lost requests that were not found to be due to a crash */
     std::size_t expire(Time now);
 
@@ -193,36 +203,62 @@
         Fingerprint request;
         Time lostAt;
     };
-    std::unordered_map<EndpointId, std::vector<LostRequest>> lostRequests_;
+    std::vector<Fingerprint> take(const routing::EndpointLifetime &endpoint, Duration window, Time now);
+
+    std::map<routing::EndpointLifetime, std::vector<LostRequest>> lostRequests_;
+};
+
+/** What is known about a request that was in flight when endpoints crashed. */
+struct Suspect {
+    Fingerprint request;
+    std::vector<routing::EndpointLifetime> crashes; ///< sorted, each once; at most as many as lead to a quarantine
+    bool isCleared = false; ///< ran to a successful end, so the crashes were coincidences
+    Time updatedAt; ///< when it was cleared; else when the last crash was recorded or the request was last rejected
 };
 
 /**
- * Counts endpoint crashes for each request that was in flight, identified by its fingerprint.
- *
  * Detects poison requests: those that crash any endpoint that executes them, and that the caller retries at any VM.
- * Other requests in flight at a crash are counted too, but are rarely in flight at the next one.
+ *
+ * A request is identified by its fingerprint and quarantined after crashes of several endpoints. Other requests in
+ * flight at a crash are suspects too, but are rarely in flight at the next one. Many requests may share a fingerprint,
+ * so one that succeeds is cleared, and is no suspect for a while whatever crashes.
+ *
+ * VMs exchange what they know. Crashes are merged as a set, so that those which several VMs notice at the same time all
+ * count, and one which several VMs notice counts once. Merging is commutative and idempotent: VMs that have exchanged
+ * everything agree, in whatever order that happened.
  */
 class PoisonRequestTracker
 {
 public:
-    /** Counts a crash of an endpoint that was executing the request. @return the number of crashes counted so far */
-    int recordCrash(Fingerprint request, Time now);
-    /** Merges the count of another VM: the higher count is kept. */
-    void merge(Fingerprint request, int crashes, Time now);
+    /** Records a crash of an endpoint that was executing the request. @return false if it adds nothing */
+    bool recordCrash(Fingerprint request, const routing::EndpointLifetime &endpoint, Time now);
+    /** Clears a request that ran to a successful end. @return true if it was a suspect until now */
+    bool recordSuccess(Fingerprint request, Time now);
+    /** Records that a quarantined request was rejected, which prolongs the quarantine. */
+    void recordRejection(Fingerprint request, Time now);
+    /** Merges what another VM knows. @return false if it adds nothing */
+    bool merge(const Suspect &suspect, Time now);
+
     /** Returns whether the request must not be sent to endpoints any more. */
-    bool isQuarantined(Fingerprint request) const;
+    bool isQuarantined(Fingerprint request, Time now) const;
+    /** Returns null if the request is not a suspect. */
+    const Suspect *find(Fingerprint request) const;
+    /** Returns the suspects of more than one crash; those of one crash are mostly coincidences. */
+    std::vector<Suspect> repeatedSuspects(Time now) const;
+    /** Returns a digest of repeatedSuspects(), which differs if another VM decides differently about a request. */
+    std::uint64_t digest(Time now) const;
+
     void expire(Time now);
     std::size_t size() const noexcept
     {
-        return entries_.size();
+        return suspects_.size();
     }
 
 private:
-    struct Entry {
-        int crashes = 0;
-        Time updatedAt;
-    };
-    std::unordered_map<Fingerprint, Entry> entries_;
+    Suspect &findOrAdd(Fingerprint request);
+    static bool addCrash(Suspect &suspect, const routing::EndpointLifetime &endpoint);
+
+    std::unordered_map<Fingerprint, Suspect> suspects_;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/libs/dispatch/src/poison_request_tracker.cpp
+++ b/libs/dispatch/src/poison_request_tracker.cpp
@@ -7,36 +7,157 @@
 namespace
 {
 
+using routing::EndpointLifetime;
+
 /** Number of crashes from which a request is quarantined: an unrelated request may be in flight at two of them. */
-constexpr int quarantineThreshold = 3;
-/** Time after its last update for which an entry is kept. */
-constexpr Duration entryTtl = 120s;
+constexpr std::size_t quarantineThreshold = 3;
+/** Number of crashes from which VMs reconcile what they know about a request. */
+constexpr std::size_t repeatThreshold = 2;
+/** Time after its last update for which a suspect is kept. */
+constexpr Duration suspectTtl = 120s;
+/** Bounds the memory; all requests in flight at the crash of a large part of the fleet fit in. */
+constexpr std::size_t maxSuspects = 8192;
+
+bool isExpired(const Suspect &suspect, Time now) noexcept
+{
+    return now - suspect.updatedAt >= suspectTtl;
+}
+
+bool hasEnoughCrashes(const Suspect &suspect) noexcept
+{
+    return suspect.crashes.size() >= quarantineThreshold;
+}
+
+bool isRepeated(const Suspect &suspect, Time now) noexcept
+{
+    return suspect.crashes.size() >= repeatThreshold && !isExpired(suspect, now);
+}
+
+/** Hashes what decides whether the request may be sent. The crashes matter only until they suffice or are refuted. */
+std::uint64_t hashSuspect(const Suspect &suspect)
+{
+    const bool isDecided = suspect.isCleared || hasEnoughCrashes(suspect);
+    std::uint64_t hash = hashBytes(suspect.isCleared ? "cleared" : "suspect", suspect.request.value());
+    if (!isDecided) {
+        for (const auto &crash : suspect.crashes) {
+            hash = hashBytes(crash.endpoint.text(), hash + crash.incarnation.value());
+        }
+    }
+    return hash;
+}
 
 } // namespace
 
-int PoisonRequestTracker::recordCrash(Fingerprint request, Time now)
+bool PoisonRequestTracker::recordCrash(Fingerprint request, const EndpointLifetime &endpoint, Time now)
+{
+    Suspect &suspect = findOrAdd(request);
+    if (suspect.isCleared || !addCrash(suspect, endpoint)) {
+        return false;
+    }
+    suspect.updatedAt = now;
+    return true;
+}
+
+bool PoisonRequestTracker::recordSuccess(Fingerprint request, Time now)
+{
+    const auto found = suspects_.find(request);
+    if (found == suspects_.end() || found->second.isCleared) {
+        return false;
+    }
+    found->second.isCleared = true;
+    found->second.updatedAt = now;
+    return true;
+}
+
+void PoisonRequestTracker::recordRejection(Fingerprint request, Time now)
+{
+    const auto found = suspects_.find(request);
+    if (found != suspects_.end() && !found->second.isCleared) {
+        found->second.updatedAt = now;
+    }
+}
+
+bool PoisonRequestTracker::merge(const Suspect &suspect, Time now)
 {
-    Entry &entry = entries_[request];
-    entry.updatedAt = now;
-    return ++entry.crashes;
+    if (isExpired(suspect, now)) {
+        return false;
+    }
+    Suspect &own = findOrAdd(suspect.request);
+    bool hasChanged = suspect.isCleared && !own.isCleared;
+    if (hasChanged) {
+        own.isCleared = true;
+        own.updatedAt = suspect.updatedAt;
+    } else if (suspect.isCleared == own.isCleared) {
+        own.updatedAt = std::max(own.updatedAt, suspect.updatedAt);
+    }
+    for (const auto &endpoint : suspect.crashes) {
+        hasChanged = addCrash(own, endpoint) || hasChanged;
+    }
+    return hasChanged;
 }
 
-void PoisonRequestTracker::merge(Fingerprint request, int crashes, Time now)
+bool PoisonRequestTracker::isQuarantined(Fingerprint request, Time now) const
 {
-    Entry &entry = entries_[request];
-    entry.crashes = std::max(entry.crashes, crashes);
-    entry.updatedAt = now;
+    const auto *suspect = find(request);
+    return suspect != nullptr && hasEnoughCrashes(*suspect) && !suspect->isCleared && !isExpired(*suspect, now);
 }
 
-bool PoisonRequestTracker::isQuarantined(Fingerprint request) const
+const Suspect *PoisonRequestTracker::find(Fingerprint request) const
 {
-    const auto found = entries_.find(request);
-    return found != entries_.end() && found->second.crashes >= quarantineThreshold;
+    const auto found = suspects_.find(request);
+    return found == suspects_.end() ? nullptr : &found->second;
+}
+
+std::vector<Suspect> PoisonRequestTracker::repeatedSuspects(Time now) const
+{
+    std::vector<Suspect> result;
+    for (const auto &[request, suspect] : suspects_) {
+        if (isRepeated(suspect, now)) {
+            result.push_back(suspect);
+        }
+    }
+    return result;
+}
+
+std::uint64_t PoisonRequestTracker::digest(Time now) const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[request, suspect] : suspects_) {
+        if (isRepeated(suspect, now)) {
+            digest ^= hashSuspect(suspect);
+        }
+    }
+    return digest;
 }
 
 void PoisonRequestTracker::expire(Time now)
 {
-    std::erase_if(entries_, [&](const auto &item) { return item.second.updatedAt + entryTtl < now; });
+    std::erase_if(suspects_, [&](const auto &item) { return isExpired(item.second, now); });
+}
+
+/** Returns the entry of a request; a new one replaces the least recently updated one if there is no room. */
+Suspect &PoisonRequestTracker::findOrAdd(Fingerprint request)
+{
+    if (!suspects_.contains(request) && suspects_.size() >= maxSuspects) {
+        suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(), [](const auto &a, const auto &b) {
+            return a.second.updatedAt < b.second.updatedAt;
+        }));
+    }
+    Suspect &suspect = suspects_[request];
+    suspect.request = request;
+    return suspect;
+}
+
+bool PoisonRequestTracker::addCrash(Suspect &suspect, const EndpointLifetime &endpoint)
+{
+    auto &crashes = suspect.crashes;
+    const auto place = std::lower_bound(crashes.begin(), crashes.end(), endpoint);
+    const bool isKnown = place != crashes.end() && *place == endpoint;
+    if (isKnown || hasEnoughCrashes(suspect)) {
+        return false;
+    }
+    crashes.insert(place, endpoint);
+    return true;
 }
 
 } // namespace lacewing::dispatch
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -154,6 +154,14 @@
     Draining, ///< accepts no new requests
 };
 
+/** One run of an endpoint, from its start to its end. */
+struct EndpointLifetime {
+    EndpointId endpoint;
+    Incarnation incarnation;
+
+    auto operator<=>(const EndpointLifetime &) const = default;
+};
+
 /** An endpoint's registration, valid for one incarnation. */
 struct EndpointEntry {
     EndpointId id;
@@ -165,6 +173,10 @@
     Readiness readiness = Readiness::Ready;
 
     bool operator==(const EndpointEntry &) const = default;
+    EndpointLifetime lifetime() const
+    {
+        return { id, incarnation };
+    }
 };
 
 /** Effect of an update on the directory. */
@@ -209,6 +221,8 @@
 
     /** Returns the available endpoints of a service, sorted by id. Valid until the directory changes. */
     const std::vector<const EndpointEntry *> &availableEndpoints(const ServiceId &service) const;
+    /** Returns whether an endpoint's registration is gone or belongs to another incarnation. */
+    bool hasEnded(const EndpointLifetime &lifetime) const;
     /** Returns null if the endpoint is unknown or unavailable. */
     const EndpointEntry *find(const EndpointId &id) const;
     std::size_t size() const noexcept;
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -141,6 +141,12 @@
     indexedRevision_ = revision_;
 }
 
+bool EndpointDirectory::hasEnded(const EndpointLifetime &lifetime) const
+{
+    const auto found = records_.find(lifetime.endpoint);
+    return found == records_.end() || found->second.entry.incarnation != lifetime.incarnation;
+}
+
 const EndpointEntry *EndpointDirectory::find(const EndpointId &id) const
 {
     const auto found = records_.find(id);
--- a/tools/gateway/src/endpoint_attempt.h
+++ b/tools/gateway/src/endpoint_attempt.h
@@ -39,6 +39,11 @@
     {
         return endpoint_.id;
     }
+    /** Returns the endpoint's registration as of the start. */
+    const routing::EndpointEntry &entry() const noexcept
+    {
+        return endpoint_;
+    }
     const net::HttpHead &head() const noexcept
     {
         return head_;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -53,12 +53,14 @@
     , signals_(context.loop.ioContext(), SIGTERM, SIGINT, SIGHUP)
     , links_(context, makeFleetHandlers())
     , state_(context, links_, [this] { handleStateChange(); })
-    , pieces_(context, links_, state_, random_.next())
     , client_(context.loop, endpointOptions(context))
+    , poisonRequests_(context, links_, state_, client_)
+    , pieces_(context, links_, state_, random_.next())
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context, links_, state_, pieces_, client_, loadBalancer_, prefixCache_, suspects_, decisionLog_, random_ }
+    , shared_ { context,       links_,       state_,          pieces_,      client_,
+                loadBalancer_, prefixCache_, poisonRequests_, decisionLog_, random_ }
     , callerServer_(context.loop,
                     callerOptions(context),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
@@ -96,11 +98,8 @@
     context_.loop.timers().every(context_.now() + housekeepingInterval, housekeepingInterval, [this](Time now) {
         loadBalancer_.prune(state_.endpoints());
         prefixCache_.expire(now);
-        suspects_.expire(now);
+        poisonRequests_.expire(now);
         shared_.rejectionHistory.expire(now);
-        if (const std::size_t expired = shared_.crashDetector.expire(now); expired > 0) {
-            context_.logger.state("lost connections not attributed to a crash", { { "requests", expired } });
-        }
     });
     context_.loop.run();
     return 0;
@@ -171,6 +170,7 @@
         isReadyLogged_ = true;
         context_.logger.state("ready", { { "vm", context_.settings.vm } });
     }
+    poisonRequests_.onEndpointsChanged();
     pieces_.refresh();
 }
 
@@ -178,12 +178,7 @@
 {
     FleetHandlers handlers;
     handlers.onRelease = [this](const ReleaseMessage &message) { pieces_.serve(message); };
-    handlers.onSuspect = [this](const SuspectMessage &message) {
-        suspects_.merge(Fingerprint(message.fingerprint), static_cast<int>(message.crashes), context_.now());
-        context_.logger.state(
-            "suspect request received",
-            { { "fingerprint", Fingerprint(message.fingerprint) }, { "crashes", std::size_t(message.crashes) } });
-    };
+    handlers.onSuspect = [this](const SuspectMessage &message) { poisonRequests_.handleSuspect(message); };
     handlers.onPieces = [this](PiecesRequest request, peer::PeerCallWriter writer) {
         pieces_.serve(std::move(request), std::move(writer));
     };
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -5,6 +5,7 @@
 #include "fleet_links.h"
 #include "fleet_state.h"
 #include "piece_service.h"
+#include "poison_request_guard.h"
 #include "request_handler.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -35,11 +36,11 @@
     boost::asio::signal_set signals_;
     FleetLinks links_;
     FleetState state_;
-    PieceService pieces_;
     net::HttpClient client_;
+    PoisonRequestGuard poisonRequests_;
+    PieceService pieces_;
     dispatch::LoadBalancer loadBalancer_;
     dispatch::PrefixCacheIndex prefixCache_;
-    dispatch::PoisonRequestTracker suspects_;
     DecisionLog decisionLog_;
     RequestContext shared_;
     net::HttpServer callerServer_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -148,12 +148,23 @@
     LACEWING_MEMBERS(service, cell, endpoints, handles)
 };
 
-/** A request that was running on an endpoint when the endpoint went down. */
+/** An endpoint that crashed. */
+struct EndpointLifetimeMessage {
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+
+    LACEWING_MEMBERS(endpoint, incarnation)
+};
+
+/** A request that was running on endpoints when they went down. */
 struct SuspectMessage {
     std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0;
+    std::uint32_t crashCount = 0; ///< read by VMs of an earlier version, which know nothing of the other fields
+    std::vector<EndpointLifetimeMessage> crashes;
+    std::int64_t ageMs = 0; ///< time since it was updated
+    bool isCleared = false; ///< it has succeeded since, so it does not crash endpoints
 
-    LACEWING_MEMBERS(fingerprint, crashes)
+    LACEWING_MEMBERS(fingerprint, crashCount, crashes, ageMs, isCleared)
 };
 
 /** Asks another VM for records of a topic that this VM can't read from the store. */
--- /dev/null
+++ b/tools/gateway/src/poison_request_guard.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "context.h"
+#include "fleet_links.h"
+#include "fleet_state.h"
+
+#include <dispatch/dispatch.h>
+#include <net/net.h>
+
+#include <set>
+
+namespace lacewing::gateway
+{
+
+/**
+ * Keeps requests that crash endpoints from being sent again, by this VM and all others.
+ *
+ * Each lost connection to an endpoint is followed by a connection attempt, which tells a crash. Suspects are sent to
+ * all VMs.
+ */
+class PoisonRequestGuard
+{
+public:
+    PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state, net::HttpClient &client);
+
+    /** Returns whether the request must not be sent to endpoints any more. */
+    bool isQuarantined(Fingerprint request) const;
+    /** Called when a quarantined request was not sent. */
+    void onRejected(Fingerprint request);
+    /** Called when a connection is lost while the endpoint executes a request. */
+    void onConnectionLost(const routing::EndpointEntry &endpoint, Fingerprint request);
+    /** Called when no connection can be established. */
+    void onUnreachable(const routing::EndpointEntry &endpoint);
+    /** Called when a request ran to a successful end. */
+    void onSucceeded(Fingerprint request);
+    /** Called when the endpoint directory has changed. */
+    void onEndpointsChanged();
+
+    void handleSuspect(const SuspectMessage &message);
+    void expire(Time now);
+
+private:
+    void attemptConnection(const routing::EndpointEntry &endpoint);
+    void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<Fingerprint> &requests);
+    void broadcast(Fingerprint request);
+    SuspectMessage toMessage(const dispatch::Suspect &suspect) const;
+
+    Context &context_;
+    FleetLinks &links_;
+    FleetState &state_;
+    net::HttpClient &client_;
+    dispatch::CrashDetector crashDetector_;
+    dispatch::PoisonRequestTracker suspects_;
+    std::set<routing::EndpointLifetime> attemptedEndpoints_; ///< with a connection attempt that is due or in progress
+};
+
+} // namespace lacewing::gateway
--- a/tools/gateway/src/request_context.cpp
+++ b/tools/gateway/src/request_context.cpp
@@ -17,17 +17,6 @@
     return average;
 }
 
-void RequestContext::handleUnreachableEndpoint(const EndpointId &endpoint)
-{
-    for (const auto request : crashDetector.onUnreachable(endpoint, context.now())) {
-        const int count = suspects.recordCrash(request, context.now());
-        context.logger.state("suspect request",
-                             { { "fingerprint", request }, { "endpoint", endpoint }, { "crashes", count } });
-        links.broadcast(
-            encodeMessage(MessageKind::Suspect, SuspectMessage { request.value(), static_cast<std::uint32_t>(count) }));
-    }
-}
-
 void RequestContext::recordRequest(const std::string &route, int status, Duration time)
 {
     constexpr int hundreds = 100;
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -4,6 +4,7 @@
 #include "decision_log.h"
 #include "fleet_state.h"
 #include "piece_service.h"
+#include "poison_request_guard.h"
 
 #include <dispatch/dispatch.h>
 #include <routing/routing.h>
@@ -38,19 +39,15 @@
     net::HttpClient &client;
     dispatch::LoadBalancer &loadBalancer;
     dispatch::PrefixCacheIndex &prefixCache;
-    dispatch::PoisonRequestTracker &suspects;
+    PoisonRequestGuard &poisonRequests;
     DecisionLog &decisionLog;
     Random &random;
     dispatch::RejectionHistory rejectionHistory;
     std::unordered_map<routing::ServiceId, dispatch::RetryBudget> retryBudgets;
     RouteAverages tokenAverages; ///< request sizes, in weighted tokens
     RouteAverages pieceCountAverages; ///< pieces of a request
-    dispatch::CrashDetector crashDetector;
     std::set<std::shared_ptr<RequestHandler>> activeRequests;
 
-    /** Marks the requests that an endpoint ran shortly before it became unreachable as suspect, on this VM and all
-     * others. */
-    void handleUnreachableEndpoint(const EndpointId &endpoint);
     /** Updates the metrics for a finished request. @param status 0 if no response was sent */
     void recordRequest(const std::string &route, int status, Duration time);
     dispatch::RetryBudget &retryBudget(const routing::ServiceId &service);
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -57,11 +57,7 @@
     }
     const std::string_view caller = facts_.apiKey ? std::string_view(*facts_.apiKey) : std::string_view();
     fingerprint_ = Fingerprint(hashBytes(request_.body, hashBytes(request_.target, hashBytes(caller))));
-    if (shared_.suspects.isQuarantined(fingerprint_)) {
-        reject(net::status::unavailable, "quarantined because endpoints crashed while running it", route_->timeout);
-        return;
-    }
-    if (!startDeadline()) {
+    if (rejectIfQuarantined() || !startDeadline()) {
         return;
     }
     service_ = chooseService();
@@ -138,6 +134,17 @@
     return route_->services.back().service;
 }
 
+/** Ends the request if it must not be sent, because endpoints crashed while they executed it. */
+bool RequestHandler::rejectIfQuarantined()
+{
+    if (!shared_.poisonRequests.isQuarantined(fingerprint_)) {
+        return false;
+    }
+    shared_.poisonRequests.onRejected(fingerprint_);
+    rejectOrFail("quarantined because endpoints crashed while running it", route_->timeout);
+    return true;
+}
+
 void RequestHandler::rejectStages(const stages::AdmissionDecision &decision)
 {
     shared_.decisionLog.write("stages overloaded",
@@ -186,7 +193,7 @@
     };
     handlers.onFailed = [weak](std::string_view reason) {
         if (const auto self = weak.lock()) {
-            self->rejectOrFail(reason);
+            self->rejectOrFail(reason, defaultRetryAfter);
         }
     };
     handlers.onRejected = [weak](const stages::AdmissionDecision &decision) {
@@ -224,7 +231,7 @@
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
     const auto *entry = placement_->choose(triedEndpoints_, service != nullptr ? service->maxConnections : 0, results);
     if (entry == nullptr) {
-        rejectOrFail("no endpoint available");
+        rejectOrFail("no endpoint available", defaultRetryAfter);
         return;
     }
     sendTo(*entry, results);
@@ -343,6 +350,7 @@
             fail(0, "stream ended within an event");
             return;
         }
+        shared_.poisonRequests.onSucceeded(fingerprint_);
         writer_.end();
         finish(head.status, "streamed");
         return;
@@ -350,6 +358,7 @@
     mayHaveRun_ = true;
     if (attempt_->isAuthentic(facts_.id)) {
         closeAttempt(dispatch::SendOutcome::Answered);
+        shared_.poisonRequests.onSucceeded(fingerprint_);
         writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_);
         finish(head.status, "answered");
         return;
@@ -382,17 +391,19 @@
         return;
     }
     if (!retry("not run", false)) {
-        rejectOrFail("not run by the endpoint");
+        rejectOrFail("not run by the endpoint", defaultRetryAfter);
     }
 }
 
 void RequestHandler::handleTransportError(const net::HttpEnd &end)
 {
     if (!end.requestWritten) {
-        shared_.handleUnreachableEndpoint(attempt_->endpoint());
+        if (end.error->kind == ErrorKind::Unreachable) {
+            shared_.poisonRequests.onUnreachable(attempt_->entry());
+        }
         closeAttempt(dispatch::SendOutcome::Unreachable);
         if (!retry("endpoint unreachable", false)) {
-            rejectOrFail("endpoint unreachable");
+            rejectOrFail("endpoint unreachable", defaultRetryAfter);
         }
         return;
     }
@@ -403,7 +414,7 @@
             "connection lost",
             { { "request", facts_.id }, { "fingerprint", fingerprint_ }, { "endpoint", attempt_->endpoint() } },
             now());
-        shared_.crashDetector.onConnectionLost(attempt_->endpoint(), fingerprint_, now());
+        shared_.poisonRequests.onConnectionLost(attempt_->entry(), fingerprint_);
     }
     closeAttempt(dispatch::SendOutcome::Failed);
     if (!retry(toText(end.error->kind), true)) {
@@ -466,12 +477,12 @@
 }
 
 /** Ends a request that can't be served: rejects it if it has certainly not run, else fails it. */
-void RequestHandler::rejectOrFail(std::string_view reason)
+void RequestHandler::rejectOrFail(std::string_view reason, Duration retryAfter)
 {
     if (mayHaveRun_ || isHeadForwarded_) {
         fail(net::status::badGateway, reason);
     } else {
-        reject(net::status::unavailable, reason, defaultRetryAfter);
+        reject(net::status::unavailable, reason, retryAfter);
     }
 }
 
@@ -498,6 +509,7 @@
     shared_.decisionLog.write(
         "request completed",
         { { "request", facts_.id },
+          { "fingerprint", fingerprint_ },
           { "route", route },
           { "state", routes_ ? routes_->state().version : routing::StateVersion() },
           { "status", status },
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -30,6 +30,7 @@
     bool startDeadline();
     int rank() const noexcept;
     const routing::ServiceId &chooseService();
+    bool rejectIfQuarantined();
     void rejectStages(const stages::AdmissionDecision &decision);
 
     // Stages
@@ -53,7 +54,7 @@
 
     // Completion
     void reject(int status, std::string_view reason, std::optional<Duration> retryAfter);
-    void rejectOrFail(std::string_view reason);
+    void rejectOrFail(std::string_view reason, Duration retryAfter);
     void fail(int status, std::string_view reason);
     void finish(int status, std::string_view outcome);
     void handleDeadline();
