Gateway: a VM that starts or returns late learns which requests are quarantined

Cause: a suspect was told once, to the VMs that were live then. A VM that started later, was frozen or cut off did not know of it, and ran the request until it had counted three crashes of its own.

Fix: heartbeats carry a digest of the suspects of more than one crash; a VM whose digest differs requests them from the sender, at most twice a second. Suspects of one crash are left out: they are many, mostly coincidences, and the VM that records the second crash sends the first along. Ages are sent, so an exchange does not prolong a quarantine; rejections do.

An older VM ignores the new field and declines the request, which the asking VM logs.

--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -270,6 +270,7 @@
         break;
     case MessageKind::Pieces:
     case MessageKind::Records:
+    case MessageKind::Suspects:
         break;
     }
 }
@@ -288,6 +289,9 @@
             handlers_.onRecords(decoded.value(), std::move(writer));
             return;
         }
+    } else if (kind == MessageKind::Suspects) {
+        handlers_.onSuspectsRequested(std::move(writer));
+        return;
     }
     writer.fail({ ErrorKind::Malformed, "malformed request" });
 }
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -29,6 +29,7 @@
     std::function<void(const VmId &from, const RecordsPush &)> onRecordsPushed;
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
     std::function<void(const RecordsRequest &, peer::PeerCallWriter)> onRecords;
+    std::function<void(peer::PeerCallWriter)> onSuspectsRequested;
     std::function<void(const VmId &, const Heartbeat &)> onHeartbeat;
     std::function<void(Heartbeat &)> fillHeartbeat; ///< fills in the contents of the next heartbeat
     std::function<void()> onMembersChanged; ///< called when a VM joined, left or is no longer live
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -179,6 +179,9 @@
     FleetHandlers handlers;
     handlers.onRelease = [this](const ReleaseMessage &message) { pieces_.serve(message); };
     handlers.onSuspect = [this](const SuspectMessage &message) { poisonRequests_.handleSuspect(message); };
+    handlers.onSuspectsRequested = [this](peer::PeerCallWriter writer) {
+        poisonRequests_.serveSuspects(std::move(writer));
+    };
     handlers.onPieces = [this](PiecesRequest request, peer::PeerCallWriter writer) {
         pieces_.serve(std::move(request), std::move(writer));
     };
@@ -190,6 +193,7 @@
     };
     handlers.onHeartbeat = [this](const VmId &vm, const Heartbeat &heartbeat) {
         state_.handleHeartbeat(vm, heartbeat);
+        poisonRequests_.handleHeartbeat(vm, heartbeat);
         pieces_.handleLoads(vm, heartbeat.loads);
         std::vector<dispatch::Rejection> rejections;
         for (const auto &message : heartbeat.rejectedRequests) {
@@ -200,6 +204,7 @@
     };
     handlers.fillHeartbeat = [this](Heartbeat &heartbeat) {
         heartbeat.loads = pieces_.localLoads();
+        heartbeat.suspectsDigest = poisonRequests_.digest();
         heartbeat.rejectedRequests.clear();
         for (const auto &rejection : shared_.rejectionHistory.takeUnpublished()) {
             heartbeat.rejectedRequests.push_back(
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -45,6 +45,7 @@
     std::vector<LoadMessage> loads; ///< of the cells that it coordinates
     std::vector<RejectedRequestMessage> rejectedRequests; ///< since its last heartbeat
     bool isReadingStore = false; ///< whether it reads the store and the store responds
+    std::uint64_t suspectsDigest = 0; ///< of what it knows about requests that were in flight at several crashes
 
     LACEWING_MEMBERS(vm,
                      zone,
@@ -58,7 +59,8 @@
                      endpointsEndOffset,
                      loads,
                      rejectedRequests,
-                     isReadingStore)
+                     isReadingStore,
+                     suspectsDigest)
 };
 
 /** One piece in a call to the VM that coordinates the piece's cell. */
@@ -167,6 +169,18 @@
     LACEWING_MEMBERS(fingerprint, crashCount, crashes, ageMs, isCleared)
 };
 
+/** Asks another VM which requests were running at several crashes. */
+struct SuspectsRequest {
+    std::uint64_t digest = 0; ///< of what the asking VM knows
+
+    LACEWING_MEMBERS(digest)
+};
+struct SuspectsResponse {
+    std::vector<SuspectMessage> suspects;
+
+    LACEWING_MEMBERS(suspects)
+};
+
 /** Asks another VM for records of a topic that this VM can't read from the store. */
 struct RecordsRequest {
     userplatform::Topic topic = userplatform::Topic::Operator;
@@ -205,7 +219,8 @@
     Suspect = 3,
     Pieces = 4,
     Records = 5,
-    RecordsPush = 6
+    RecordsPush = 6,
+    Suspects = 7
 };
 
 template <typename Message>
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -8,6 +8,9 @@
 /** Delay of the connection attempt after a loss: a process that ends closes its sockets one after the other. */
 constexpr Duration attemptDelay = 20ms;
 constexpr Duration connectTimeout = 400ms;
+/** Minimum interval between requests for suspects to other VMs. */
+constexpr Duration minSuspectsRequestInterval = 500ms;
+constexpr peer::CallLimits suspectsCallLimits { 300ms, 500ms, 500ms, 1s };
 
 } // namespace
 
@@ -135,6 +138,49 @@
                           { { "fingerprint", suspect.request }, { "quarantined", !wasQuarantined } });
 }
 
+void PoisonRequestGuard::handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat)
+{
+    const Time now = context_.now();
+    const bool isTooSoon = lastSuspectsRequestAt_ && now - *lastSuspectsRequestAt_ < minSuspectsRequestInterval;
+    if (isTooSoon || heartbeat.suspectsDigest == 0 || heartbeat.suspectsDigest == digest()) {
+        return;
+    }
+    lastSuspectsRequestAt_ = now;
+    peer::CallHandlers handlers;
+    handlers.onData = [this, vm](const std::string &data) {
+        const auto response = wire::decode<SuspectsResponse>(data);
+        if (!response) {
+            context_.logger.warn("malformed suspects", { { "vm", vm }, { "error", response.error().detail } });
+            return;
+        }
+        for (const auto &suspect : response.value().suspects) {
+            handleSuspect(suspect);
+        }
+    };
+    handlers.onFailed = [this, vm](const Error &error, bool) {
+        context_.logger.warn("suspects not received", { { "vm", vm }, { "error", error.detail } });
+    };
+    links_.call(vm,
+                encodeMessage(MessageKind::Suspects, SuspectsRequest { digest() }),
+                suspectsCallLimits,
+                std::move(handlers));
+}
+
+void PoisonRequestGuard::serveSuspects(peer::PeerCallWriter writer) const
+{
+    SuspectsResponse response;
+    for (const auto &suspect : suspects_.repeatedSuspects(context_.now())) {
+        response.suspects.push_back(toMessage(suspect));
+    }
+    writer.write(wire::encode(response));
+    writer.end();
+}
+
+std::uint64_t PoisonRequestGuard::digest() const
+{
+    return suspects_.digest(context_.now());
+}
+
 void PoisonRequestGuard::expire(Time now)
 {
     suspects_.expire(now);
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -7,6 +7,7 @@
 #include <dispatch/dispatch.h>
 #include <net/net.h>
 
+#include <optional>
 #include <set>
 
 namespace lacewing::gateway
@@ -16,7 +17,8 @@
  * Keeps requests that crash endpoints from being sent again, by this VM and all others.
  *
  * Each lost connection to an endpoint is followed by a connection attempt, which tells a crash. Suspects are sent to
- * all VMs.
+ * all VMs. A VM that was not reached then, as it started later or was cut off, notices by the digest in the heartbeats
+ * that it knows less, and requests what it lacks.
  */
 class PoisonRequestGuard
 {
@@ -37,6 +39,11 @@
     void onEndpointsChanged();
 
     void handleSuspect(const SuspectMessage &message);
+    /** Requests the suspects of another VM if they differ from those known here. */
+    void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
+    /** Responds to a request of another VM for the suspects known here. */
+    void serveSuspects(peer::PeerCallWriter writer) const;
+    std::uint64_t digest() const;
     void expire(Time now);
 
 private:
@@ -52,6 +59,7 @@
     dispatch::CrashDetector crashDetector_;
     dispatch::PoisonRequestTracker suspects_;
     std::set<routing::EndpointLifetime> attemptedEndpoints_; ///< with a connection attempt that is due or in progress
+    std::optional<Time> lastSuspectsRequestAt_;
 };
 
 } // namespace lacewing::gateway
