Gateway: check the quarantine before each send, not only on arrival

Cause: a request was checked when it arrived. Its stages take up to twice its latency target, and a retry comes later still; a request that was quarantined meanwhile was sent all the same.

Fix: RequestHandler::dispatch(), which all sends pass, checks it. A request that has run is failed, one that has not is rejected as not run.

--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -227,6 +227,9 @@
 void RequestHandler::dispatch()
 {
     phase_ = Phase::SelectingEndpoint;
+    if (rejectIfQuarantined()) {
+        return; // it was quarantined during its stages or its previous attempt
+    }
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
     const auto *entry = placement_->choose(triedEndpoints_, service != nullptr ? service->maxConnections : 0, results);
