Gateway: a quarantine outlives the restart of all VMs

After a power loss of all VMs a poison request would crash three endpoints more.

Cause: quarantines were kept in the memory of the VMs only.

Fix: a quarantine is written to the store, once, by the VM that records the decisive crash or by the one that is responsible for the request. It lies in the topic of the VMs' addresses, which each VM reads at its start and watches, so no further calls are made to the store. The responsible VM removes it once the quarantine has ended; a removal that fails is made up for after the next start.

--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -125,6 +125,19 @@
     return result;
 }
 
+bool FleetLinks::isResponsible(std::string_view task, std::size_t count) const
+{
+    const auto vms = members(std::nullopt);
+    std::vector<std::string> names;
+    names.reserve(vms.size());
+    for (const auto &vm : vms) {
+        names.push_back(vm.text());
+    }
+    const auto chosen = rendezvous(task, names, count);
+    return std::any_of(
+        chosen.begin(), chosen.end(), [&](std::size_t index) { return vms[index] == context_.settings.vm; });
+}
+
 std::size_t FleetLinks::liveCount() const
 {
     return 1 + static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](const auto &item) {
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -65,6 +65,8 @@
 
     /** Returns the live VMs of a zone, or of all zones, that accept work, sorted; includes this VM unless it leaves. */
     std::vector<VmId> members(const std::optional<AvailabilityZoneId> &zone) const;
+    /** Returns whether this VM is among the `count` VMs that take on a fleet-wide task, out of members(). */
+    bool isResponsible(std::string_view task, std::size_t count) const;
     /** Returns the number of live VMs, including leaving ones and this VM. */
     std::size_t liveCount() const;
     /** Returns false if VMs of the zone are known and none of them sends heartbeats. */
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -27,6 +27,13 @@
 /** Interval of the checks for registrations that expired after an outage of the store. */
 constexpr Duration expiryCheckInterval = 200ms;
 constexpr peer::CallLimits recordCallLimits { 300ms, 500ms, 500ms, 1s };
+/** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
+constexpr std::string_view quarantineKeyPrefix = "quarantine/";
+
+std::string quarantineKey(std::uint64_t fingerprint)
+{
+    return std::string(quarantineKeyPrefix) + std::to_string(fingerprint);
+}
 
 std::string_view topicName(Topic topic)
 {
@@ -43,10 +50,14 @@
 
 } // namespace
 
-FleetState::FleetState(Context &context, FleetLinks &links, std::function<void()> onChanged)
+FleetState::FleetState(Context &context,
+                       FleetLinks &links,
+                       std::function<void()> onChanged,
+                       std::function<void(const SuspectMessage &)> onQuarantineRead)
     : context_(context)
     , links_(links)
     , onChanged_(std::move(onChanged))
+    , onQuarantineRead_(std::move(onQuarantineRead))
     , store_(context.loop, context.settings.storeAddress)
     , endpoints_(context.settings.reregistrationPeriod)
 {
@@ -214,6 +225,12 @@
 
 void FleetState::applyVm(const StoreRecord &record)
 {
+    if (record.key.starts_with(quarantineKeyPrefix)) {
+        if (record.value) {
+            applyQuarantine(*record.value);
+        }
+        return;
+    }
     const VmId vm(record.key);
     const auto space = record.value ? record.value->find(' ') : std::string::npos;
     if (space == std::string::npos) {
@@ -223,6 +240,31 @@
     links_.updateAddress(vm, AvailabilityZoneId(record.value->substr(0, space)), record.value->substr(space + 1));
 }
 
+void FleetState::applyQuarantine(const std::string &value)
+{
+    const auto message = net::fromBase64(value);
+    if (!message) {
+        context_.logger.warn("malformed quarantine", { { "error", message.error().detail } });
+        return;
+    }
+    const auto suspect = wire::decode<SuspectMessage>(message.value());
+    if (!suspect) {
+        context_.logger.warn("malformed quarantine", { { "error", suspect.error().detail } });
+        return;
+    }
+    onQuarantineRead_(suspect.value());
+}
+
+void FleetState::storeQuarantine(const SuspectMessage &suspect)
+{
+    store_.put(quarantineKey(suspect.fingerprint), net::toBase64(wire::encode(suspect)));
+}
+
+void FleetState::removeQuarantine(Fingerprint request)
+{
+    store_.remove(quarantineKey(request.value()), [] {});
+}
+
 void FleetState::expireEndpoints(Time now)
 {
     if (endpoints_.expire(now) > 0) {
@@ -250,15 +292,7 @@
 /** Returns whether this VM is one of the VMs that read the store for all. */
 bool FleetState::isStoreReader() const
 {
-    const auto members = links_.members(std::nullopt);
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (const auto &vm : members) {
-        names.push_back(vm.text());
-    }
-    const auto readers = rendezvous("store", names, storeReaderCount);
-    return std::any_of(
-        readers.begin(), readers.end(), [&](std::size_t index) { return names[index] == context_.settings.vm.text(); });
+    return links_.isResponsible("store", storeReaderCount);
 }
 
 /** Returns whether a live VM reports that it reads the store successfully. */
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -22,13 +22,21 @@
 class FleetState
 {
 public:
-    FleetState(Context &context, FleetLinks &links, std::function<void()> onChanged);
+    FleetState(Context &context,
+               FleetLinks &links,
+               std::function<void()> onChanged,
+               std::function<void(const SuspectMessage &)> onQuarantineRead);
 
     /** Starts to read the store, and registers this VM's address in it. */
     void start();
     /** Removes this VM's address from the store. */
     void deregister(std::function<void()> onDone);
 
+    /** Writes a quarantined request to the store, where a restart of all VMs does not end the quarantine. */
+    void storeQuarantine(const SuspectMessage &suspect);
+    /** Removes a request from the store; not retried on failure. */
+    void removeQuarantine(Fingerprint request);
+
     /** Returns the routes of the desired state in force; null until one has been read. */
     const std::shared_ptr<const routing::RouteTable> &routes() const noexcept
     {
@@ -72,6 +80,7 @@
     void applyDesiredState(const userplatform::StoreRecord &record);
     void applyEndpoint(const userplatform::StoreRecord &record);
     void applyVm(const userplatform::StoreRecord &record);
+    void applyQuarantine(const std::string &value);
     void pushRecords(userplatform::Topic topic,
                      std::uint64_t startOffset,
                      const std::vector<userplatform::StoreRecord> &records);
@@ -87,6 +96,7 @@
     Context &context_;
     FleetLinks &links_;
     std::function<void()> onChanged_;
+    std::function<void(const SuspectMessage &)> onQuarantineRead_;
     userplatform::StoreClient store_;
     std::map<userplatform::Topic, TopicReplica> replicas_;
     std::shared_ptr<const routing::RouteTable> routes_;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -52,7 +52,11 @@
     , random_(seed)
     , signals_(context.loop.ioContext(), SIGTERM, SIGINT, SIGHUP)
     , links_(context, makeFleetHandlers())
-    , state_(context, links_, [this] { handleStateChange(); })
+    , state_(
+          context,
+          links_,
+          [this] { handleStateChange(); },
+          [this](const SuspectMessage &suspect) { poisonRequests_.handleStoredQuarantine(suspect); })
     , client_(context.loop, endpointOptions(context))
     , poisonRequests_(context, links_, state_, client_)
     , pieces_(context, links_, state_, random_.next())
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -86,6 +86,9 @@
                                 { "crashes", suspects_.find(request)->crashes.size() },
                                 { "quarantined", isQuarantined(request) } });
         broadcast(request);
+        if (isQuarantined(request)) {
+            store(request);
+        }
     }
 }
 
@@ -108,6 +111,31 @@
     }
 }
 
+/** Writes a quarantined request to the store, unless it is known to be there. */
+void PoisonRequestGuard::store(Fingerprint request)
+{
+    if (storedQuarantines_.insert(request).second) {
+        state_.storeQuarantine(toMessage(*suspects_.find(request)));
+    }
+}
+
+/** Returns whether this VM updates the record of a request in the store on behalf of all. */
+bool PoisonRequestGuard::isResponsibleFor(Fingerprint request) const
+{
+    return links_.isResponsible("quarantine/" + std::to_string(request.value()), 1);
+}
+
+void PoisonRequestGuard::removeEndedQuarantines()
+{
+    std::erase_if(storedQuarantines_, [this](Fingerprint request) {
+        const bool hasEnded = !isQuarantined(request);
+        if (hasEnded && isResponsibleFor(request)) {
+            state_.removeQuarantine(request);
+        }
+        return hasEnded;
+    });
+}
+
 SuspectMessage PoisonRequestGuard::toMessage(const dispatch::Suspect &suspect) const
 {
     SuspectMessage message;
@@ -136,6 +164,18 @@
     }
     context_.logger.state("quarantine received",
                           { { "fingerprint", suspect.request }, { "quarantined", !wasQuarantined } });
+    // No VM may have recorded the decisive crash by itself, if several recorded one each at the same time.
+    if (!wasQuarantined && isResponsibleFor(suspect.request)) {
+        store(suspect.request);
+    }
+}
+
+void PoisonRequestGuard::handleStoredQuarantine(const SuspectMessage &message)
+{
+    const Fingerprint request(message.fingerprint);
+    if (storedQuarantines_.insert(request).second && !isQuarantined(request)) {
+        handleSuspect(message);
+    }
 }
 
 void PoisonRequestGuard::handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat)
@@ -183,6 +223,7 @@
 
 void PoisonRequestGuard::expire(Time now)
 {
+    removeEndedQuarantines();
     suspects_.expire(now);
     if (const std::size_t expired = crashDetector_.expire(now); expired > 0) {
         context_.logger.state("lost connections not attributed to a crash", { { "requests", expired } });
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -18,7 +18,8 @@
  *
  * Each lost connection to an endpoint is followed by a connection attempt, which tells a crash. Suspects are sent to
  * all VMs. A VM that was not reached then, as it started later or was cut off, notices by the digest in the heartbeats
- * that it knows less, and requests what it lacks.
+ * that it knows less, and requests what it lacks. Quarantines are written to the store as well, as all VMs may restart
+ * at once.
  */
 class PoisonRequestGuard
 {
@@ -38,7 +39,10 @@
     /** Called when the endpoint directory has changed. */
     void onEndpointsChanged();
 
+    /** Merges what another VM knows about a request. */
     void handleSuspect(const SuspectMessage &message);
+    /** Merges a quarantine that has been read from the store. */
+    void handleStoredQuarantine(const SuspectMessage &message);
     /** Requests the suspects of another VM if they differ from those known here. */
     void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
     /** Responds to a request of another VM for the suspects known here. */
@@ -50,6 +54,9 @@
     void attemptConnection(const routing::EndpointEntry &endpoint);
     void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<Fingerprint> &requests);
     void broadcast(Fingerprint request);
+    void store(Fingerprint request);
+    void removeEndedQuarantines();
+    bool isResponsibleFor(Fingerprint request) const;
     SuspectMessage toMessage(const dispatch::Suspect &suspect) const;
 
     Context &context_;
@@ -60,6 +67,7 @@
     dispatch::PoisonRequestTracker suspects_;
     std::set<routing::EndpointLifetime> attemptedEndpoints_; ///< with a connection attempt that is due or in progress
     std::optional<Time> lastSuspectsRequestAt_;
+    std::set<Fingerprint> storedQuarantines_; ///< written to the store or read from it
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -16,6 +16,8 @@
 
 const std::string workspace = "w";
 const std::string key = "k";
+/** Holds one record for each VM too. */
+const std::string quarantineTopic = "keyed.lacewingfall-vms";
 
 DesiredStateSpec makeState(int version, std::vector<RouteSpec> routes)
 {
@@ -423,6 +425,38 @@
     cr_assert_eq(executions(), 3U, "%zu", executions());
 }
 
+Test(gateway, quarantineOutlivesTheRestartOfAllVms)
+{
+    Harness harness(2);
+    for (const auto *engine : { "g1", "g2", "g3", "g4", "g5" }) {
+        harness.addEndpoint(engine, "engine", Behaviour::Crash);
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLinks();
+    for (std::size_t crash = 1; crash <= 3; ++crash) {
+        harness.sendAndWait(0, "POST", "/stream/x", headers("1-" + std::to_string(crash)), "poison");
+        harness.waitForLogLines({ 0 }, "\"suspect request\"", crash);
+    }
+    harness.waitFor([&] { return harness.store().newestRecordCount(quarantineTopic) > 2; }, "a stored quarantine");
+    for (const std::size_t vm : { 0, 1 }) {
+        harness.signal(vm, SIGKILL);
+        harness.waitFor([&] { return harness.hasEnded(vm); }, "the end of a vm");
+    }
+    harness.start();
+    for (const std::size_t vm : { 0, 1 }) {
+        harness.waitForLogLines({ vm }, "\"quarantine received\"", 1);
+        const auto response =
+            harness.sendAndWait(vm, "POST", "/stream/x", headers("2-" + std::to_string(vm)), "poison");
+        cr_assert_eq(response.status, 503, "vm %zu: %d", vm, response.status);
+    }
+    std::size_t executions = 0;
+    for (const auto &endpoint : harness.endpoints()) {
+        executions += endpoint->executionCount();
+    }
+    cr_assert_eq(executions, 3U, "%zu", executions);
+}
+
 Test(gateway, requestQuarantinedDuringItsStagesIsNotSent)
 {
     Harness harness(1);
