Gateway: stop a request whose pieces crash the endpoints of a stage

What callers and operators would see: one request takes down all endpoints of a stage service within a second, as its pieces are retried up to 20 times.

Nothing inferred a crash from a lost call, and nothing was known of the request.

Fix: a lost call is followed by a connection attempt too, and its pieces are retried only after it, as they would run at the next endpoint before they are suspect. A call holds pieces of many requests, and those that fail together are retried together, so crashes are counted by piece, at the VM that fills the calls; a piece in two of them is not sent in one call with such a piece of another request. After the third the request is quarantined on all VMs, and its queued pieces are dropped. A piece that runs to its end is cleared.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -241,6 +241,8 @@
 
     /** Returns whether the request must not be sent to endpoints any more. */
     bool isQuarantined(Fingerprint request, Time now) const;
+    /** Returns whether the request was in flight at more than one crash, and has not been cleared. */
+    bool isRepeatedSuspect(Fingerprint request, Time now) const;
     /** Returns null if the request is not a suspect. */
     const Suspect *find(Fingerprint request) const;
     /** Returns the suspects of more than one crash; those of one crash are mostly coincidences. */
--- a/libs/dispatch/src/poison_request_tracker.cpp
+++ b/libs/dispatch/src/poison_request_tracker.cpp
@@ -102,6 +102,12 @@
     return suspect != nullptr && hasEnoughCrashes(*suspect) && !suspect->isCleared && !isExpired(*suspect, now);
 }
 
+bool PoisonRequestTracker::isRepeatedSuspect(Fingerprint request, Time now) const
+{
+    const auto *suspect = find(request);
+    return suspect != nullptr && isRepeated(*suspect, now) && !suspect->isCleared;
+}
+
 const Suspect *PoisonRequestTracker::find(Fingerprint request) const
 {
     const auto found = suspects_.find(request);
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -110,6 +110,7 @@
 struct PieceTask {
     PieceTicket ticket;
     RequestId request;
+    Fingerprint fingerprint; ///< of the request's content; 0: unknown
     routing::ServiceId service; ///< whose endpoints process the piece
     PieceIndex index;
     std::string contentKey; ///< identifies the content of a piece without inputs
@@ -120,6 +121,7 @@
     Bytes resultBytes; ///< approximate size of the result
     AvailabilityZoneId preferredZone; ///< empty: no preference
     Bytes crossZoneBytes; ///< transferred between zones if the piece is processed outside the preferred zone
+    bool isSuspect = false; ///< it was in several calls whose endpoints crashed
 };
 
 /** An endpoint that processes pieces. */
@@ -151,6 +153,8 @@
  * would miss their due time use leftover capacity, in descending order of value. An endpoint that is much slower than
  * its peers only gets pieces beyond their capacity, and an occasional small probe call to detect its recovery.
  *
+ * Suspect pieces of different requests are not sent in one call, so that a crash tells which of them is the cause.
+ *
  * A piece with large inputs or a large result waits for an endpoint in its preferred zone as long as one of them can
  * process it by its due time; otherwise it may go to an endpoint in any zone.
  */
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -403,11 +403,16 @@
     call.endpoint = state.endpoint.id;
     std::vector<PieceTask> remaining;
     std::uint64_t reservedBytes = 0;
+    std::optional<RequestId> suspect; ///< request of the suspect pieces in the call
     for (auto &task : waitingTasks_) {
         const std::uint64_t bytes = task.resultBytes.value();
         const bool fits =
             traits_.resultCapacity.value() == 0 || state.memoryUsedBytes + reservedBytes + bytes <= usableBytes;
-        if (call.pieces.size() < maxPieces && fits && !shouldWaitForZone(task, state, now)) {
+        const bool isApart = !task.isSuspect || !suspect || *suspect == task.request;
+        if (call.pieces.size() < maxPieces && fits && isApart && !shouldWaitForZone(task, state, now)) {
+            if (task.isSuspect) {
+                suspect = task.request;
+            }
             reservedBytes += bytes;
             call.pieces.push_back(std::move(task));
         } else {
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -1,5 +1,7 @@
 #include <stages/stages.h>
 
+#include <set>
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -86,6 +88,40 @@
     cr_assert_eq(f.scheduler.waitingCount(), 2U);
 }
 
+Test(batchScheduler, suspectPiecesOfDifferentRequestsAreNotInOneCall)
+{
+    Fixture f(3);
+    const auto add = [&](const char *request, bool isSuspect) {
+        PieceTask task;
+        task.ticket = PieceTicket(++f.lastTicket);
+        task.request = RequestId(request);
+        task.dueTime = f.now + 1s;
+        task.deadline = f.now + 5s;
+        task.isSuspect = isSuspect;
+        f.scheduler.add(task);
+    };
+    for (const auto *request : { "a", "b", "c", "d" }) {
+        add(request, true);
+        add(request, true);
+        add("other", false);
+    }
+    const auto calls = f.scheduler.takeCalls(f.now);
+    cr_assert_eq(calls.size(), 3U);
+    std::size_t pieces = 0;
+    for (const auto &call : calls) {
+        std::set<std::string> suspects;
+        for (const auto &piece : call.pieces) {
+            if (piece.isSuspect) {
+                suspects.insert(piece.request.text());
+            }
+        }
+        cr_assert_eq(suspects.size(), 1U, "%zu", suspects.size());
+        pieces += call.pieces.size();
+    }
+    cr_assert_eq(pieces, 10U, "pieces that are not suspect share the calls");
+    cr_assert_eq(f.scheduler.waitingCount(), 2U, "the fourth suspect waits for the next free endpoint");
+}
+
 Test(batchScheduler, sortsByDueTimeAndLatePiecesByValue)
 {
     Fixture f(1);
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -40,10 +40,14 @@
 
 } // namespace
 
-BatchDispatcherContext::BatchDispatcherContext(Context &processContext, FleetLinks &fleetLinks, FleetState &fleetState)
+BatchDispatcherContext::BatchDispatcherContext(Context &processContext,
+                                               FleetLinks &fleetLinks,
+                                               FleetState &fleetState,
+                                               PoisonRequestGuard &poisonRequestGuard)
     : context(processContext)
     , links(fleetLinks)
     , state(fleetState)
+    , poisonRequests(poisonRequestGuard)
     , client(context.loop, net::HttpClientOptions().maxPerAddress(maxConnectionsPerEndpoint).keepIdle(idleTimeout))
     , callCounter(context.metrics.counter({ "piece_calls", "Calls to endpoints of stages" }))
     , pieceCounter(context.metrics.counter({ "pieces", "Pieces in calls to endpoints of stages" }))
@@ -84,6 +88,7 @@
 void BatchDispatcher::add(stages::PieceTask task, Callback callback)
 {
     callbacks_.emplace(task.ticket, std::move(callback));
+    task.isSuspect = shared_.poisonRequests.isSuspect(task);
     scheduler_.add(std::move(task));
     scheduleRun(batchingDelay);
 }
@@ -136,8 +141,9 @@
 
 void BatchDispatcher::send(stages::BatchCall call)
 {
+    rejectQuarantined(call);
     const auto *entry = shared_.state.endpoints().find(call.endpoint);
-    if (entry == nullptr) {
+    if (entry == nullptr || call.pieces.empty()) {
         scheduler_.recordCallEnd(call.endpoint, stages::CallOutcome::Rejected, 0, now());
         requeue(call);
         return;
@@ -154,10 +160,26 @@
                                    [this, number](const net::HttpEnd &end, const net::HttpResponse &response) {
                                        const auto inFlight = inFlightCalls_.extract(number);
                                        if (!inFlight.empty()) {
-                                           handleCallEnd(inFlight.mapped().call, end, response);
+                                           handleCallEnd(inFlight.mapped(), end, response);
                                        }
                                    });
-    inFlightCalls_.emplace(number, InFlightCall { std::move(call), handle });
+    inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle });
+}
+
+/** Removes the pieces of quarantined requests from a call, and reports them as failed. */
+void BatchDispatcher::rejectQuarantined(stages::BatchCall &call)
+{
+    std::vector<stages::PieceTicket> rejected;
+    std::erase_if(call.pieces, [&](const stages::PieceTask &piece) {
+        const bool isQuarantined = shared_.poisonRequests.isQuarantined(piece.fingerprint);
+        if (isQuarantined) {
+            rejected.push_back(piece.ticket);
+        }
+        return isQuarantined;
+    });
+    for (const auto ticket : rejected) {
+        notify(ticket, { std::nullopt, PieceFailure::Failed });
+    }
 }
 
 /** Aborts the calls in flight to a leaving endpoint, and reports their pieces as failed so that they are retried
@@ -178,22 +200,21 @@
             "call aborted",
             { { "service", service_ }, { "endpoint", endpoint }, { "pieces", inFlight.call.pieces.size() } });
         scheduler_.recordCallEnd(endpoint, stages::CallOutcome::Lost, 0, now());
-        for (const auto &piece : inFlight.call.pieces) {
-            notify(piece.ticket, { std::nullopt, PieceFailure::Failed });
-        }
+        reportFailed(inFlight.call);
     }
 }
 
-void BatchDispatcher::handleCallEnd(const stages::BatchCall &call,
+void BatchDispatcher::handleCallEnd(const InFlightCall &inFlight,
                                     const net::HttpEnd &end,
                                     const net::HttpResponse &response)
 {
+    const auto &call = inFlight.call;
     const bool isResponseValid = !end.error && response.head.status == net::status::ok;
     const auto pieceResponses = userplatform::parsePiecesResponse(response.body, call.pieces.size());
     if (isResponseValid && pieceResponses) {
         handleResults(call, pieceResponses.value());
     } else {
-        handleCallFailure(call, end, response.head);
+        handleCallFailure(inFlight, end, response.head);
     }
     scheduleRun(Duration::zero());
 }
@@ -216,6 +237,7 @@
             notify(piece.ticket, { std::nullopt, pieceResponse.failure });
             continue;
         }
+        shared_.poisonRequests.onPieceSucceeded(piece);
         const HeldResult result { *pieceResponse.handle, call.endpoint };
         scheduler_.recordResult(call.endpoint, result.handle, piece.resultBytes, now());
         if (!notify(piece.ticket, { result, {} })) {
@@ -224,10 +246,11 @@
     }
 }
 
-void BatchDispatcher::handleCallFailure(const stages::BatchCall &call,
+void BatchDispatcher::handleCallFailure(const InFlightCall &inFlight,
                                         const net::HttpEnd &end,
                                         const net::HttpHead &head)
 {
+    const auto &call = inFlight.call;
     const auto metadata = userplatform::parseResponseMetadata(head);
     shared_.context.logger.state("call failed",
                                  { { "service", service_ },
@@ -245,11 +268,29 @@
         call.endpoint, isRejected ? stages::CallOutcome::Rejected : stages::CallOutcome::Lost, 0, now());
     if (isUnreachable) {
         scheduler_.backOff(call.endpoint, now() + unreachableBackoff);
+        if (end.error->kind == ErrorKind::Unreachable) {
+            shared_.poisonRequests.onUnreachable(inFlight.entry);
+        }
     }
     if (isUnreachable || isRejected) {
         requeue(call);
         return;
     }
+    if (!end.error) {
+        reportFailed(call);
+    } else if (end.error->kind == ErrorKind::ConnectionLost) {
+        // Retried pieces would run at the next endpoint before it is known that they are suspect.
+        shared_.poisonRequests.onCallLost(
+            inFlight.entry, call.pieces, shared_.client, [this, call] { reportFailed(call); });
+    } else {
+        // The endpoint is silent, so its check may take long.
+        shared_.poisonRequests.onCallLost(inFlight.entry, call.pieces, shared_.client, [] {});
+        reportFailed(call);
+    }
+}
+
+void BatchDispatcher::reportFailed(const stages::BatchCall &call)
+{
     for (const auto &piece : call.pieces) {
         notify(piece.ticket, { std::nullopt, PieceFailure::Failed });
     }
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -3,6 +3,7 @@
 #include "context.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
+#include "poison_request_guard.h"
 
 #include <stages/stages.h>
 
@@ -30,11 +31,15 @@
 
 /** Services shared by the dispatchers of all services. */
 struct BatchDispatcherContext {
-    BatchDispatcherContext(Context &processContext, FleetLinks &fleetLinks, FleetState &fleetState);
+    BatchDispatcherContext(Context &processContext,
+                           FleetLinks &fleetLinks,
+                           FleetState &fleetState,
+                           PoisonRequestGuard &poisonRequestGuard);
 
     Context &context;
     FleetLinks &links;
     FleetState &state;
+    PoisonRequestGuard &poisonRequests;
     net::HttpClient client; ///< connects to endpoints of stages
     telemetry::Counter callCounter;
     telemetry::Counter pieceCounter;
@@ -68,13 +73,21 @@
     }
 
 private:
+    struct InFlightCall {
+        stages::BatchCall call;
+        routing::EndpointEntry entry; ///< the endpoint's registration when the call was sent
+        net::HttpCallHandle handle;
+    };
+
     void scheduleRun(Duration wait);
     void runScheduler();
     void send(stages::BatchCall call);
-    void handleCallEnd(const stages::BatchCall &call, const net::HttpEnd &end, const net::HttpResponse &response);
+    void rejectQuarantined(stages::BatchCall &call);
+    void handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpResponse &response);
     void abortCalls(const EndpointId &endpoint);
     void handleResults(const stages::BatchCall &call, const std::vector<userplatform::PieceResponse> &pieceResponses);
-    void handleCallFailure(const stages::BatchCall &call, const net::HttpEnd &end, const net::HttpHead &head);
+    void handleCallFailure(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head);
+    void reportFailed(const stages::BatchCall &call);
     void requeue(const stages::BatchCall &call);
     bool notify(stages::PieceTicket ticket, const PieceOutcome &outcome);
     void sendReleases();
@@ -89,10 +102,6 @@
     stages::CellId cell_;
     routing::BatchConfig traits_;
     stages::BatchScheduler scheduler_;
-    struct InFlightCall {
-        stages::BatchCall call;
-        net::HttpCallHandle handle;
-    };
     std::map<std::uint64_t, InFlightCall> inFlightCalls_; ///< by call number
     std::uint64_t lastCallNumber_ = 0;
     std::unordered_map<stages::PieceTicket, Callback> callbacks_;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -57,9 +57,9 @@
           links_,
           [this] { handleStateChange(); },
           [this](const SuspectMessage &suspect) { poisonRequests_.handleStoredQuarantine(suspect); })
+    , poisonRequests_(context, links_, state_)
+    , pieces_(context, links_, state_, poisonRequests_, random_.next())
     , client_(context.loop, endpointOptions(context))
-    , poisonRequests_(context, links_, state_, client_)
-    , pieces_(context, links_, state_, random_.next())
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -36,9 +36,9 @@
     boost::asio::signal_set signals_;
     FleetLinks links_;
     FleetState state_;
-    net::HttpClient client_;
     PoisonRequestGuard poisonRequests_;
     PieceService pieces_;
+    net::HttpClient client_;
     dispatch::LoadBalancer loadBalancer_;
     dispatch::PrefixCacheIndex prefixCache_;
     DecisionLog decisionLog_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -110,8 +110,9 @@
     std::vector<std::string> services;
     std::vector<PieceMessage> pieces;
     std::optional<AdmissionRequestMessage> admission; ///< set if the cell has not admitted the request yet
+    std::uint64_t fingerprint = 0; ///< of the request's content; 0: unknown
 
-    LACEWING_MEMBERS(cell, zone, request, services, pieces, admission)
+    LACEWING_MEMBERS(cell, zone, request, services, pieces, admission, fingerprint)
 };
 
 /** Part of the response to PiecesRequest: the outcome of one piece. */
--- a/tools/gateway/src/piece_codec.cpp
+++ b/tools/gateway/src/piece_codec.cpp
@@ -40,6 +40,7 @@
 {
     stages::PieceTask task;
     task.request = stages::RequestId(request.request);
+    task.fingerprint = Fingerprint(request.fingerprint);
     task.service = routing::ServiceId(request.services[message.service]);
     task.index = { message.stage, message.piece };
     task.contentKey = std::move(message.key);
@@ -112,6 +113,7 @@
     request.cell = batch.cell.text();
     request.zone = batch.zone.text();
     request.request = batch.pieces.front().request.text();
+    request.fingerprint = batch.pieces.front().fingerprint.value();
     for (const auto index : indices) {
         request.pieces.push_back(toMessage(batch.pieces[index], request.services, now));
     }
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -41,12 +41,13 @@
     std::size_t remaining = 0;
 };
 
-PieceService::PieceService(Context &context, FleetLinks &links, FleetState &state, std::uint64_t seed)
+PieceService::PieceService(
+    Context &context, FleetLinks &links, FleetState &state, PoisonRequestGuard &poisonRequests, std::uint64_t seed)
     : context_(context)
     , links_(links)
     , state_(state)
     , random_(seed)
-    , shared_(context, links, state)
+    , shared_(context, links, state, poisonRequests)
 {
 }
 
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -44,7 +44,8 @@
 class PieceService
 {
 public:
-    PieceService(Context &context, FleetLinks &links, FleetState &state, std::uint64_t seed);
+    PieceService(
+        Context &context, FleetLinks &links, FleetState &state, PoisonRequestGuard &poisonRequests, std::uint64_t seed);
     ~PieceService();
     PieceService(const PieceService &) = delete;
     PieceService &operator=(const PieceService &) = delete;
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -11,14 +11,22 @@
 /** Minimum interval between requests for suspects to other VMs. */
 constexpr Duration minSuspectsRequestInterval = 500ms;
 constexpr peer::CallLimits suspectsCallLimits { 300ms, 500ms, 500ms, 1s };
+/** Time for which it is known which request a lost piece belongs to; longer than a crash is looked for. */
+constexpr Duration lostPieceTtl = 120s;
+
+/** Identifies a piece over all attempts of its request. */
+Fingerprint pieceFingerprint(const stages::PieceTask &piece)
+{
+    const std::string index = std::to_string(piece.index.stage) + "." + std::to_string(piece.index.piece);
+    return Fingerprint(hashBytes(index, piece.fingerprint.value()));
+}
 
 } // namespace
 
-PoisonRequestGuard::PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state, net::HttpClient &client)
+PoisonRequestGuard::PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state)
     : context_(context)
     , links_(links)
     , state_(state)
-    , client_(client)
 {
 }
 
@@ -32,38 +40,68 @@
     suspects_.recordRejection(request, context_.now());
 }
 
-void PoisonRequestGuard::onConnectionLost(const routing::EndpointEntry &endpoint, Fingerprint request)
+void PoisonRequestGuard::onConnectionLost(const routing::EndpointEntry &endpoint,
+                                          Fingerprint request,
+                                          net::HttpClient &client)
 {
     crashDetector_.onConnectionLost(endpoint.lifetime(), request, context_.now());
+    checkEndpoint(endpoint, client, [] {});
+}
+
+void PoisonRequestGuard::onCallLost(const routing::EndpointEntry &endpoint,
+                                    std::span<const stages::PieceTask> pieces,
+                                    net::HttpClient &client,
+                                    std::function<void()> onChecked)
+{
+    for (const auto &piece : pieces) {
+        if (piece.fingerprint != Fingerprint()) {
+            const auto suspect = pieceFingerprint(piece);
+            lostPieces_[suspect] = { piece.fingerprint, context_.now() };
+            pieceCrashDetector_.onConnectionLost(endpoint.lifetime(), suspect, context_.now());
+        }
+    }
+    checkEndpoint(endpoint, client, std::move(onChecked));
+}
+
+/** Finds out whether an endpoint has crashed: its lifetime has ended, or it refuses connections. */
+void PoisonRequestGuard::checkEndpoint(const routing::EndpointEntry &endpoint,
+                                       net::HttpClient &client,
+                                       std::function<void()> onChecked)
+{
     if (state_.endpoints().hasEnded(endpoint.lifetime())) {
         onEndpointsChanged();
-        return;
     }
-    if (!attemptedEndpoints_.insert(endpoint.lifetime()).second) {
-        return;
+    const auto [check, isFirst] = checkedEndpoints_.try_emplace(endpoint.lifetime());
+    check->second.push_back(std::move(onChecked));
+    if (isFirst) {
+        context_.loop.timers().once(context_.now() + attemptDelay,
+                                    [this, endpoint, &client](Time) { attemptConnection(endpoint, client); });
     }
-    context_.loop.timers().once(context_.now() + attemptDelay, [this, endpoint](Time) { attemptConnection(endpoint); });
 }
 
-/** Attempts a connection to an endpoint, to find out whether it has crashed. */
-void PoisonRequestGuard::attemptConnection(const routing::EndpointEntry &endpoint)
+void PoisonRequestGuard::attemptConnection(const routing::EndpointEntry &endpoint, net::HttpClient &client)
 {
     net::HttpCall call;
     call.address = endpoint.address;
     call.connectOnly = true;
     net::HttpHandlers handlers;
     handlers.onDone = [this, endpoint](const net::HttpEnd &end) {
-        attemptedEndpoints_.erase(endpoint.lifetime());
+        const auto check = checkedEndpoints_.extract(endpoint.lifetime());
         if (end.error && end.error->kind == ErrorKind::Unreachable) {
             onUnreachable(endpoint);
         }
+        for (const auto &onChecked : check.mapped()) {
+            onChecked();
+        }
     };
-    client_.start(std::move(call), { connectTimeout, 0s, 0s, 0s }, std::move(handlers));
+    client.start(std::move(call), { connectTimeout, 0s, 0s, 0s }, std::move(handlers));
 }
 
 void PoisonRequestGuard::onUnreachable(const routing::EndpointEntry &endpoint)
 {
-    recordCrash(endpoint.lifetime(), crashDetector_.onUnreachable(endpoint.lifetime(), context_.now()));
+    const auto lifetime = endpoint.lifetime();
+    recordCrash(lifetime, crashDetector_.onUnreachable(lifetime, context_.now()));
+    recordPieceCrash(lifetime, pieceCrashDetector_.onUnreachable(lifetime, context_.now()));
 }
 
 void PoisonRequestGuard::onEndpointsChanged()
@@ -71,6 +109,40 @@
     for (const auto &crash : crashDetector_.takeEnded(state_.endpoints(), context_.now())) {
         recordCrash(crash.endpoint, crash.requests);
     }
+    for (const auto &crash : pieceCrashDetector_.takeEnded(state_.endpoints(), context_.now())) {
+        recordPieceCrash(crash.endpoint, crash.requests);
+    }
+}
+
+void PoisonRequestGuard::recordPieceCrash(const routing::EndpointLifetime &endpoint,
+                                          const std::vector<Fingerprint> &pieces)
+{
+    if (pieces.empty()) {
+        return;
+    }
+    context_.logger.state("suspect pieces", { { "endpoint", endpoint.endpoint }, { "pieces", pieces.size() } });
+    for (const auto piece : pieces) {
+        suspectPieces_.recordCrash(piece, endpoint, context_.now());
+        const auto lost = lostPieces_.find(piece);
+        if (lost == lostPieces_.end() || !suspectPieces_.isQuarantined(piece, context_.now())) {
+            continue;
+        }
+        for (const auto &crash : suspectPieces_.find(piece)->crashes) {
+            recordCrash(crash, { lost->second.request });
+        }
+    }
+}
+
+void PoisonRequestGuard::onPieceSucceeded(const stages::PieceTask &piece)
+{
+    if (suspectPieces_.size() > 0) {
+        suspectPieces_.recordSuccess(pieceFingerprint(piece), context_.now());
+    }
+}
+
+bool PoisonRequestGuard::isSuspect(const stages::PieceTask &piece) const
+{
+    return suspectPieces_.size() > 0 && suspectPieces_.isRepeatedSuspect(pieceFingerprint(piece), context_.now());
 }
 
 void PoisonRequestGuard::recordCrash(const routing::EndpointLifetime &endpoint,
@@ -225,7 +297,10 @@
 {
     removeEndedQuarantines();
     suspects_.expire(now);
-    if (const std::size_t expired = crashDetector_.expire(now); expired > 0) {
+    suspectPieces_.expire(now);
+    std::erase_if(lostPieces_, [&](const auto &item) { return now - item.second.lostAt > lostPieceTtl; });
+    const std::size_t expired = crashDetector_.expire(now) + pieceCrashDetector_.expire(now);
+    if (expired > 0) {
         context_.logger.state("lost connections not attributed to a crash", { { "requests", expired } });
     }
 }
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -6,9 +6,15 @@
 
 #include <dispatch/dispatch.h>
 #include <net/net.h>
+#include <stages/stages.h>
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
 
 namespace lacewing::gateway
 {
@@ -20,22 +26,38 @@
  * all VMs. A VM that was not reached then, as it started later or was cut off, notices by the digest in the heartbeats
  * that it knows less, and requests what it lacks. Quarantines are written to the store as well, as all VMs may restart
  * at once.
+ *
+ * A call to an endpoint of a stage runs pieces of many requests. The cause of a crash is found by the piece: the same
+ * one is in each call that crashes an endpoint. Its request is quarantined then.
  */
 class PoisonRequestGuard
 {
 public:
-    PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state, net::HttpClient &client);
+    PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state);
 
     /** Returns whether the request must not be sent to endpoints any more. */
     bool isQuarantined(Fingerprint request) const;
     /** Called when a quarantined request was not sent. */
     void onRejected(Fingerprint request);
-    /** Called when a connection is lost while the endpoint executes a request. */
-    void onConnectionLost(const routing::EndpointEntry &endpoint, Fingerprint request);
+    /** Called when a connection is lost while the endpoint executes a request. @param client used for the endpoint */
+    void onConnectionLost(const routing::EndpointEntry &endpoint, Fingerprint request, net::HttpClient &client);
+    /**
+     * Called when there is no response to a call that runs pieces of several requests.
+     *
+     * @param onChecked called once it is known whether the endpoint accepts connections
+     */
+    void onCallLost(const routing::EndpointEntry &endpoint,
+                    std::span<const stages::PieceTask> pieces,
+                    net::HttpClient &client,
+                    std::function<void()> onChecked);
     /** Called when no connection can be established. */
     void onUnreachable(const routing::EndpointEntry &endpoint);
     /** Called when a request ran to a successful end. */
     void onSucceeded(Fingerprint request);
+    /** Called when an endpoint has run a piece of a request. */
+    void onPieceSucceeded(const stages::PieceTask &piece);
+    /** Returns whether the piece was in several calls whose endpoints crashed. */
+    bool isSuspect(const stages::PieceTask &piece) const;
     /** Called when the endpoint directory has changed. */
     void onEndpointsChanged();
 
@@ -51,8 +73,17 @@
     void expire(Time now);
 
 private:
-    void attemptConnection(const routing::EndpointEntry &endpoint);
+    struct SuspectPiece {
+        Fingerprint request;
+        Time lostAt;
+    };
+
+    void checkEndpoint(const routing::EndpointEntry &endpoint,
+                       net::HttpClient &client,
+                       std::function<void()> onChecked);
+    void attemptConnection(const routing::EndpointEntry &endpoint, net::HttpClient &client);
     void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<Fingerprint> &requests);
+    void recordPieceCrash(const routing::EndpointLifetime &endpoint, const std::vector<Fingerprint> &pieces);
     void broadcast(Fingerprint request);
     void store(Fingerprint request);
     void removeEndedQuarantines();
@@ -62,10 +93,14 @@
     Context &context_;
     FleetLinks &links_;
     FleetState &state_;
-    net::HttpClient &client_;
     dispatch::CrashDetector crashDetector_;
     dispatch::PoisonRequestTracker suspects_;
-    std::set<routing::EndpointLifetime> attemptedEndpoints_; ///< with a connection attempt that is due or in progress
+    dispatch::CrashDetector pieceCrashDetector_;
+    /** Known to this VM only: most pieces of a call are not the cause of a crash, and they are retried here. */
+    dispatch::PoisonRequestTracker suspectPieces_;
+    std::unordered_map<Fingerprint, SuspectPiece> lostPieces_; ///< by the fingerprint of the piece
+    /** Endpoints with a connection attempt that is due or in progress, and what is called after it. */
+    std::map<routing::EndpointLifetime, std::vector<std::function<void()>>> checkedEndpoints_;
     std::optional<Time> lastSuspectsRequestAt_;
     std::set<Fingerprint> storedQuarantines_; ///< written to the store or read from it
 };
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -173,6 +173,7 @@
     const double size = computeRelativeSize();
     StagesRequest stages;
     stages.id = facts_.id;
+    stages.fingerprint = fingerprint_;
     stages.pieceKey = facts_.pieceKey;
     stages.pieceCounts = facts_.pieceCounts;
     stages.receivedAt = request_.receivedAt;
@@ -192,7 +193,8 @@
         }
     };
     handlers.onFailed = [weak](std::string_view reason) {
-        if (const auto self = weak.lock()) {
+        const auto self = weak.lock();
+        if (self && !self->rejectIfQuarantined()) {
             self->rejectOrFail(reason, defaultRetryAfter);
         }
     };
@@ -417,7 +419,7 @@
             "connection lost",
             { { "request", facts_.id }, { "fingerprint", fingerprint_ }, { "endpoint", attempt_->endpoint() } },
             now());
-        shared_.poisonRequests.onConnectionLost(attempt_->entry(), fingerprint_);
+        shared_.poisonRequests.onConnectionLost(attempt_->entry(), fingerprint_, shared_.client);
     }
     closeAttempt(dispatch::SendOutcome::Failed);
     if (!retry(toText(end.error->kind), true)) {
--- a/tools/gateway/src/request_stages.cpp
+++ b/tools/gateway/src/request_stages.cpp
@@ -159,6 +159,7 @@
     const auto maxTime = Duration(std::int64_t(double(route_.latencyTarget.count()) * maxTargetMultiple));
     stages::PieceTask task;
     task.request = request_.id;
+    task.fingerprint = request_.fingerprint;
     task.service = stage.service;
     task.index = piece.index;
     task.contentKey = request_.pieceKey;
@@ -209,6 +210,10 @@
         handlers_.onFailed("stage deadline exceeded");
         return;
     }
+    if (shared_.poisonRequests.isQuarantined(request_.fingerprint)) {
+        handlers_.onFailed("quarantined");
+        return;
+    }
     const bool mayHaveRun = failure == PieceFailure::Failed;
     if (++retryCount_ > maxPieceRetries
         || (mayHaveRun && !shared_.retryBudget(stageService(index.stage)).tryAcquireRetry(now))) {
--- a/tools/gateway/src/request_stages.h
+++ b/tools/gateway/src/request_stages.h
@@ -25,6 +25,7 @@
 /** Properties of a request that its stages depend on. */
 struct StagesRequest {
     stages::RequestId id;
+    Fingerprint fingerprint;
     std::string pieceKey;
     std::vector<std::uint32_t> pieceCounts; ///< for each stage
     Time receivedAt;
--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -425,6 +425,52 @@
     cr_assert_eq(executions(), 3U, "%zu", executions());
 }
 
+Test(gateway, requestWhosePiecesCrashedThreeEndpointsIsNotSentByAnyVm)
+{
+    constexpr std::size_t endpoints = 8;
+    Harness harness(2);
+    harness.addEndpoint("g1", "engine", Behaviour::Stream);
+    harness.addEndpoint("t1", "second", Behaviour::Respond);
+    std::vector<Endpoint *> first;
+    for (std::size_t index = 0; index < endpoints; ++index) {
+        first.push_back(&harness.addEndpoint("s" + std::to_string(index), "first", Behaviour::Respond));
+        first.back()->crashOnPiecesOf("poison");
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLinks();
+    const auto crashes = [&] {
+        return std::count_if(first.begin(), first.end(), [](const Endpoint *endpoint) {
+            const auto &calls = endpoint->pieceCalls();
+            return std::any_of(calls.begin(), calls.end(), [](const auto &requests) {
+                return std::any_of(
+                    requests.begin(), requests.end(), [](const auto &id) { return id.starts_with("poison"); });
+            });
+        });
+    };
+    const auto sendOther = [&](int number) {
+        const auto id = "other-" + std::to_string(number);
+        return harness.sendAsync(0, "POST", "/staged/x", stagedHeaders(id, { 1, 1 }), std::to_string(number));
+    };
+    constexpr int attempts = 6;
+    std::vector<std::shared_ptr<std::optional<Response>>> others;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        others.push_back(sendOther(attempt));
+        const auto id = "poison-" + std::to_string(attempt);
+        const auto response =
+            harness.sendAndWait(std::size_t(attempt) % 2, "POST", "/staged/x", stagedHeaders(id, { 1, 1 }), "poison");
+        cr_assert_eq(response.status, 503, "%d", response.status);
+    }
+    cr_assert_leq(crashes(), 3, "%td", crashes());
+    // Those in the same calls may have been rejected for lack of retries, but are not taken for the cause.
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        harness.waitFor([&] { return others[attempt]->has_value(); }, "a response");
+        others[attempt] = sendOther(attempt);
+        harness.waitFor([&] { return others[attempt]->has_value(); }, "a response");
+        cr_assert_eq((*others[attempt])->status, 200, "%d", (*others[attempt])->status);
+    }
+}
+
 Test(gateway, quarantineOutlivesTheRestartOfAllVms)
 {
     Harness harness(2);
