Gateway: VMs that are cut off keep to their part of the fleet's retries

What callers and operators would see: more repeats at a service than the budget allows (BUDGET), when endpoints fail while VMs are cut off from each other or start.

Cause: the base retries of the fleet, and the connections to an endpoint, were divided by the number of live VMs. A VM that hears no others took all of them, and so did each other VM in the same place.

Fix: divide by the largest number of live VMs within the last ten to twenty minutes. VMs that have just become known from the store count before they have been heard, as a VM hears no others right after its start.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -30,6 +30,26 @@
     double baseRetries = 10; ///< additional retries per window, by all VMs together
 };
 
+/**
+ * Estimates among how many VMs a limit of the whole fleet is divided.
+ *
+ * A VM that is cut off from the others hears few of them, but they go on using their parts of the limit. So the
+ * estimate rises at once, and falls only after VMs have not been heard for long.
+ */
+class FleetSizeEstimate
+{
+public:
+    /** Must be called repeatedly. @param vms number of live VMs as far as known, including this one */
+    void update(std::size_t vms, Time now) noexcept;
+    /** Returns at least 1. */
+    std::size_t value() const noexcept;
+
+private:
+    std::size_t currentMax_ = 1;
+    std::size_t previousMax_ = 1;
+    Time periodStart_;
+};
+
 /**
  * Limits retries to a share of the requests in a sliding window.
  *
--- a/libs/dispatch/tests/dispatch_test.cpp
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -1,5 +1,6 @@
 #include <dispatch/dispatch.h>
 
+#include <algorithm>
 #include <map>
 
 #include <criterion/criterion.h>
@@ -72,6 +73,56 @@
     }
 }
 
+/** All requests fail, and after a while a third of the VMs is cut off from all others. */
+Test(retryBudget, vmsThatHearNoOthersStayWithinTheirPartOfTheLimits)
+{
+    const RetryLimits limits { 0.2, 10s, 180 };
+    constexpr std::size_t vms = 70;
+    const auto isCutOff = [](std::size_t vm, Time now) { return vm % 3 == 0 && now >= start + 5s; };
+    std::vector<RetryBudget> budgets(vms, RetryBudget(limits));
+    std::vector<FleetSizeEstimate> sizes(vms);
+    std::vector<Time> requests;
+    std::vector<Time> retries;
+    Random random(1);
+    for (Time now = start; now < start + 30s; now += 2ms) {
+        const std::size_t vm = random.below(vms);
+        sizes[vm].update(isCutOff(vm, now) ? 1 : vms, now);
+        budgets[vm].setVmCount(sizes[vm].value());
+        budgets[vm].recordRequest(now);
+        requests.push_back(now);
+        for (int retry = 0; retry < 3; ++retry) {
+            if (budgets[vm].tryAcquireRetry(now)) {
+                retries.push_back(now);
+            }
+        }
+    }
+    const auto countFrom = [&](const std::vector<Time> &times, Time from) {
+        return double(std::count_if(
+            times.begin(), times.end(), [&](Time time) { return time >= from && time < from + limits.window; }));
+    };
+    for (Time from = start; from < start + 20s; from += 500ms) {
+        const double allowed = limits.ratio * countFrom(requests, from) + limits.baseRetries;
+        cr_assert_leq(countFrom(retries, from), allowed, "%.0f of %.0f", countFrom(retries, from), allowed);
+    }
+}
+
+Test(fleetSizeEstimate, risesAtOnceAndFallsLate)
+{
+    FleetSizeEstimate size;
+    cr_assert_eq(size.value(), 1U);
+    size.update(40, start);
+    cr_assert_eq(size.value(), 40U);
+    Time now = start;
+    for (; now < start + 500s; now += 1s) {
+        size.update(3, now);
+        cr_assert_eq(size.value(), 40U);
+    }
+    for (; now < start + 1300s; now += 1s) {
+        size.update(3, now);
+    }
+    cr_assert_eq(size.value(), 3U);
+}
+
 Test(retryBudget, baseRetriesAreAllowedWithoutRequests)
 {
     RetryBudget budget({ 0.2, 10s, 8 });
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -11,6 +11,8 @@
 constexpr Duration pingIdleTime = 400ms;
 constexpr Duration pingTimeout = 400ms;
 constexpr Duration connectTimeout = 500ms;
+/** Time after it became known for which a VM is expected to be live without a heartbeat. */
+constexpr Duration firstHeartbeatTimeout = 5s;
 constexpr std::size_t maxQueuedMessages = 256;
 constexpr std::size_t maxQueuedCalls = 4'000;
 constexpr std::size_t maxStreams = 4'000;
@@ -79,6 +81,7 @@
         sendHeartbeat(peerVm);
     }
     if (isNew) {
+        peerVm.addedAt = context_.now();
         context_.logger.state("vm added", { { "vm", vm }, { "zone", zone }, { "address", address } });
     }
 }
@@ -138,10 +141,10 @@
         chosen.begin(), chosen.end(), [&](std::size_t index) { return vms[index] == context_.settings.vm; });
 }
 
-std::size_t FleetLinks::liveCount() const
+std::size_t FleetLinks::expectedCount() const
 {
     return 1 + static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](const auto &item) {
-               return hasRecentHeartbeat(item.second);
+               return hasRecentHeartbeat(item.second) || context_.now() - item.second.addedAt < firstHeartbeatTimeout;
            }));
 }
 
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -20,6 +20,7 @@
     std::string address; ///< where it listens for links from other VMs
     std::optional<Time> lastHeartbeatAt; ///< arrival of its latest heartbeat
     Heartbeat heartbeat; ///< its latest heartbeat
+    Time addedAt; ///< when it became known
 };
 
 /** Callbacks for messages and calls from other VMs. */
@@ -67,8 +68,11 @@
     std::vector<VmId> members(const std::optional<AvailabilityZoneId> &zone) const;
     /** Returns whether this VM is among the `count` VMs that take on a fleet-wide task, out of members(). */
     bool isResponsible(std::string_view task, std::size_t count) const;
-    /** Returns the number of live VMs, including leaving ones and this VM. */
-    std::size_t liveCount() const;
+    /**
+     * Returns the number of VMs, including leaving ones and this VM, that are live, or that became known so recently
+     * that they may not have been heard yet. This VM hears no others right after its start.
+     */
+    std::size_t expectedCount() const;
     /** Returns false if VMs of the zone are known and none of them sends heartbeats. */
     bool isZoneReachable(const AvailabilityZoneId &zone) const;
     const PeerVm *find(const VmId &vm) const;
--- a/tools/gateway/src/request_context.cpp
+++ b/tools/gateway/src/request_context.cpp
@@ -34,8 +34,14 @@
 dispatch::RetryBudget &RequestContext::retryBudget(const routing::ServiceId &service)
 {
     auto &budget = retryBudgets.try_emplace(service, context.settings.retryBudget).first->second;
-    budget.setVmCount(links.liveCount());
+    budget.setVmCount(vmCount());
     return budget;
 }
 
+std::size_t RequestContext::vmCount()
+{
+    fleetSize.update(links.expectedCount(), context.now());
+    return fleetSize.value();
+}
+
 } // namespace lacewing::gateway
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -47,7 +47,10 @@
     RouteAverages tokenAverages; ///< request sizes, in weighted tokens
     RouteAverages pieceCountAverages; ///< pieces of a request
     std::set<std::shared_ptr<RequestHandler>> activeRequests;
+    dispatch::FleetSizeEstimate fleetSize;
 
+    /** Returns among how many VMs a limit of the whole fleet is divided. */
+    std::size_t vmCount();
     /** Updates the metrics for a finished request. @param status 0 if no response was sent */
     void recordRequest(const std::string &route, int status, Duration time);
     dispatch::RetryBudget &retryBudget(const routing::ServiceId &service);
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -61,7 +61,7 @@
                                                        std::size_t maxConnections,
                                                        const ResultBytes &results) const
 {
-    const std::size_t connectionsPerVm = std::max(maxConnections / shared_.links.liveCount(), minConnectionsPerVm);
+    const std::size_t connectionsPerVm = std::max(maxConnections / shared_.vmCount(), minConnectionsPerVm);
     std::unordered_map<AvailabilityZoneId, bool> reachableZones;
     std::vector<dispatch::Candidate> candidates;
     std::vector<dispatch::Candidate> reachable;
