Gateway: metrics of crashes and quarantines; a test at 370 VMs

poisonRequestTracker::poisonRequestCrashesFewEndpointsAmong370Vms replays a poison request that its caller sends to another VM each time, while a tenth of the messages is lost, some VMs are cut off and one starts late; ten seeds.

--- a/libs/dispatch/tests/dispatch_test.cpp
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -467,6 +467,60 @@
     }
 }
 
+/**
+ * A caller sends a poison request again and again, each time to another of 370 VMs, while a tenth of the messages
+ * between VMs is lost. Some VMs are cut off from the others for a while, and one starts late.
+ */
+Test(poisonRequestTracker, poisonRequestCrashesFewEndpointsAmong370Vms)
+{
+    constexpr std::size_t vms = 370;
+    constexpr std::size_t lateVm = vms - 1;
+    constexpr Duration heartbeatInterval = 1s;
+    constexpr Duration settleTime = 3s; // within which all VMs in touch must know of the third crash
+    const Fingerprint poison(7);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Random random(seed);
+        std::vector<PoisonRequestTracker> trackers(vms);
+        const auto isCutOff = [](std::size_t vm, Time now) {
+            return vm < 40 ? now < start + 6s : vm == lateVm && now < start + 9s;
+        };
+        std::size_t crashes = 0;
+        std::optional<Time> thirdCrashAt;
+        for (Time now = start; now < start + 15s; now += 250ms) {
+            const std::size_t vm = random.below(vms);
+            if (!isCutOff(vm, now) && !trackers[vm].isQuarantined(poison, now)) {
+                const bool isInTouch = vm >= 40 && vm != lateVm;
+                cr_assert(!isInTouch || !thirdCrashAt || now < *thirdCrashAt + settleTime,
+                          "seed %llu: vm %zu still sends it",
+                          static_cast<unsigned long long>(seed),
+                          vm);
+                trackers[vm].recordCrash(poison, lifetime(("e" + std::to_string(++crashes)).c_str()), now);
+                if (crashes == 3) {
+                    thirdCrashAt = now;
+                }
+                for (std::size_t other = 0; other < vms; ++other) {
+                    if (!isCutOff(other, now) && random.below(10) > 0) {
+                        trackers[other].merge(suspectOf(trackers[vm], poison), now);
+                    }
+                }
+            }
+            // Each VM hears some others within a heartbeat interval; one of them is enough to learn of a difference.
+            for (std::size_t receiver = 0; receiver < vms; ++receiver) {
+                const std::size_t sender = random.below(vms);
+                const bool isDue = (now - start) % heartbeatInterval == Duration::zero();
+                if (!isDue || isCutOff(receiver, now) || isCutOff(sender, now)
+                    || trackers[sender].digest(now) == trackers[receiver].digest(now)) {
+                    continue;
+                }
+                for (const auto &suspect : trackers[sender].repeatedSuspects(now)) {
+                    trackers[receiver].merge(suspect, now);
+                }
+            }
+        }
+        cr_assert_leq(crashes, 6U, "seed %llu: %zu", static_cast<unsigned long long>(seed), crashes);
+    }
+}
+
 Test(poisonRequestTracker, numberOfSuspectsIsBounded)
 {
     PoisonRequestTracker tracker;
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -27,6 +27,13 @@
     : context_(context)
     , links_(links)
     , state_(state)
+    , crashCounter_(
+          context.metrics.counter({ "endpoint_crashes", "Crashes of endpoints that ran requests of this VM" }))
+    , suspectCounter_(context.metrics.counter({ "suspect_requests", "Requests in flight at a crash, once for each" }))
+    , quarantineCounter_(
+          context.metrics.counter({ "quarantines", "Requests that became quarantined, as known to this VM" }))
+    , unattributedCounter_(context.metrics.counter(
+          { "unattributed_losses", "Requests and pieces whose connection was lost for another reason than a crash" }))
 {
 }
 
@@ -148,10 +155,14 @@
 void PoisonRequestGuard::recordCrash(const routing::EndpointLifetime &endpoint,
                                      const std::vector<Fingerprint> &requests)
 {
+    if (!requests.empty()) {
+        crashCounter_.add();
+    }
     for (const auto request : requests) {
         if (!suspects_.recordCrash(request, endpoint, context_.now())) {
             continue;
         }
+        suspectCounter_.add();
         context_.logger.state("suspect request",
                               { { "fingerprint", request },
                                 { "endpoint", endpoint.endpoint },
@@ -159,6 +170,7 @@
                                 { "quarantined", isQuarantined(request) } });
         broadcast(request);
         if (isQuarantined(request)) {
+            quarantineCounter_.add();
             store(request);
         }
     }
@@ -237,8 +249,11 @@
     context_.logger.state("quarantine received",
                           { { "fingerprint", suspect.request }, { "quarantined", !wasQuarantined } });
     // No VM may have recorded the decisive crash by itself, if several recorded one each at the same time.
-    if (!wasQuarantined && isResponsibleFor(suspect.request)) {
-        store(suspect.request);
+    if (!wasQuarantined) {
+        quarantineCounter_.add();
+        if (isResponsibleFor(suspect.request)) {
+            store(suspect.request);
+        }
     }
 }
 
@@ -301,6 +316,7 @@
     std::erase_if(lostPieces_, [&](const auto &item) { return now - item.second.lostAt > lostPieceTtl; });
     const std::size_t expired = crashDetector_.expire(now) + pieceCrashDetector_.expire(now);
     if (expired > 0) {
+        unattributedCounter_.add(double(expired));
         context_.logger.state("lost connections not attributed to a crash", { { "requests", expired } });
     }
 }
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -103,6 +103,10 @@
     std::map<routing::EndpointLifetime, std::vector<std::function<void()>>> checkedEndpoints_;
     std::optional<Time> lastSuspectsRequestAt_;
     std::set<Fingerprint> storedQuarantines_; ///< written to the store or read from it
+    telemetry::Counter crashCounter_;
+    telemetry::Counter suspectCounter_;
+    telemetry::Counter quarantineCounter_;
+    telemetry::Counter unattributedCounter_;
 };
 
 } // namespace lacewing::gateway
