--- a/libs/net/tests/client_test.cpp
+++ b/libs/net/tests/client_test.cpp
@@ -1,5 +1,9 @@
 #include "http_fixture.h"
 
+#include <cerrno>
+#include <future>
+#include <vector>
+
 #include <criterion/parameterized.h>
 
 using namespace lacewing;
@@ -297,6 +301,39 @@
     cr_assert_eq(fixture->client.counters().cancelled, 1);
 }
 
+Test(client, cancelledCallSendsNothingMore)
+{
+    // More than the socket buffers hold, so that a part of it waits in the client's buffer when the call is cancelled.
+    const std::string body(std::size_t(16) << 20U, 'x');
+    std::promise<void> cancelled;
+    std::promise<std::pair<std::size_t, int>> received; // bytes, error of the last read
+    const raw::Server server([&](const raw::Socket &socket, int) {
+        cancelled.get_future().wait();
+        std::size_t bytes = 0;
+        std::vector<char> buffer(std::size_t(64) << 10U);
+        ssize_t size = 0;
+        while ((size = ::recv(socket.descriptor(), buffer.data(), buffer.size(), 0)) > 0) {
+            bytes += std::size_t(size);
+        }
+        received.set_value({ bytes, size < 0 ? errno : 0 });
+    });
+    EventLoop loop;
+    HttpClient client(loop, {});
+    HttpCall call;
+    call.address = server.address();
+    call.method = "POST";
+    call.body = body;
+    const auto handle = client.start(std::move(call), longLimits(), {});
+    loop.timers().once(loop.clock().now() + 100ms, [&](Time) {
+        client.cancel(handle);
+        loop.stop();
+    });
+    loop.run();
+    cancelled.set_value();
+    const auto [bytes, error] = received.get_future().get();
+    cr_assert_eq(error, ECONNRESET, "closed in order after %zu bytes, with all that was buffered", bytes);
+}
+
 Test(client, handlerMayCancelItsOwnCall)
 {
     HttpCallHandle handle;
