net: a call that ends early sends nothing more

What callers and operators saw: requests reached endpoints up to three seconds after their callers had left (GONE).

Cause: a cancelled call closed its socket in order, so the kernel went on sending the part of the request that waited in the send buffer. On a congested link that takes seconds, and an endpoint may begin the request.

Fix: the connection of a call that has not ended is reset, which drops what has not been sent. That holds for each way in which a call ends early: cancelled, timed out, malformed response, and sent again on another connection.

--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -145,7 +145,7 @@
 {
     ++pool_.counters().freshRetries;
     written_ = written_ || connection_->mayHaveWritten();
-    pool_.discard(std::exchange(connection_, nullptr));
+    pool_.abort(std::exchange(connection_, nullptr));
     pool_.closeIdle(call_.address);
     connectFresh();
 }
@@ -154,7 +154,7 @@
 {
     phase_ = Phase::Ended;
     loop_.timers().cancel(timer_);
-    pool_.discard(std::exchange(connection_, nullptr));
+    pool_.abort(std::exchange(connection_, nullptr));
 }
 
 void ClientCall::end(std::optional<Error> error)
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -175,6 +175,13 @@
     onGone_();
 }
 
+void ClientConnection::abort()
+{
+    ErrorCode ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void ClientConnection::read()
 {
     if (reading_ || !open_) {
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -72,6 +72,8 @@
     void release(Time now);
     /** Closes the socket; the listener isn't called any more. */
     void close();
+    /** Closes the socket like close(), and drops the bytes that have been written but not yet sent. */
+    void abort();
 
     bool isOpen() const noexcept
     {
--- a/libs/net/src/client_pool.cpp
+++ b/libs/net/src/client_pool.cpp
@@ -112,6 +112,14 @@
     }
 }
 
+void ClientPool::abort(const ConnectionPtr &connection)
+{
+    if (connection && connection->isOpen()) {
+        ++counters().discarded;
+        connection->abort();
+    }
+}
+
 void ClientPool::closeIdle(const std::string &address)
 {
     const auto found = shared_->addresses.find(address);
--- a/libs/net/src/client_pool.h
+++ b/libs/net/src/client_pool.h
@@ -29,6 +29,8 @@
     void giveBack(ConnectionPtr connection);
     /** Closes a connection that can't be reused. */
     void discard(const ConnectionPtr &connection);
+    /** Closes a connection whose call has not ended; of its request nothing more is sent. */
+    void abort(const ConnectionPtr &connection);
     /** Closes the idle connections to an address. */
     void closeIdle(const std::string &address);
     /** Closes all idle connections. */
