Gateway: tasks for the whole fleet go to VMs with large links

Cause: the three VMs that read the store and push each change to all were chosen by rendezvous alone.

Fix: heartbeats carry the bandwidth of a VM's link, and selectForTask() prefers VMs with at least half of the largest.

--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -1,5 +1,7 @@
 #include "fleet_links.h"
 
+#include "fleet_task.h"
+
 #include <algorithm>
 
 namespace lacewing::gateway
@@ -48,6 +50,7 @@
     localHeartbeat_.address = address();
     localHeartbeat_.incarnation = context.incarnation.value();
     localHeartbeat_.cpuShare = context.settings.cpuShare;
+    localHeartbeat_.linkMbps = context.settings.linkMbps;
 }
 
 Result<void> FleetLinks::listen()
@@ -130,15 +133,13 @@
 
 bool FleetLinks::isResponsible(std::string_view task, std::size_t count) const
 {
-    const auto vms = members(std::nullopt);
-    std::vector<std::string> names;
-    names.reserve(vms.size());
-    for (const auto &vm : vms) {
-        names.push_back(vm.text());
+    std::vector<TaskCandidate> candidates;
+    for (const auto &vm : members(std::nullopt)) {
+        const auto *peerVm = find(vm);
+        candidates.push_back({ vm, peerVm != nullptr ? peerVm->heartbeat.linkMbps : localHeartbeat_.linkMbps });
     }
-    const auto chosen = rendezvous(task, names, count);
-    return std::any_of(
-        chosen.begin(), chosen.end(), [&](std::size_t index) { return vms[index] == context_.settings.vm; });
+    const auto chosen = selectForTask(task, candidates, count);
+    return std::find(chosen.begin(), chosen.end(), context_.settings.vm) != chosen.end();
 }
 
 std::size_t FleetLinks::expectedCount() const
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -46,6 +46,7 @@
     std::vector<RejectedRequestMessage> rejectedRequests; ///< since its last heartbeat
     bool isReadingStore = false; ///< whether it reads the store and the store responds
     std::uint64_t suspectsDigest = 0; ///< of what it knows about requests that were in flight at several crashes
+    double linkMbps = 0; ///< bandwidth of its link; 0: unknown
 
     LACEWING_MEMBERS(vm,
                      zone,
@@ -60,7 +61,8 @@
                      loads,
                      rejectedRequests,
                      isReadingStore,
-                     suspectsDigest)
+                     suspectsDigest,
+                     linkMbps)
 };
 
 /** One piece in a call to the VM that coordinates the piece's cell. */
