Gateway: log how an endpoint marked the end of its answer

The line 'request completed' could not tell a stream that an endpoint ended by its last chunk from one that ended with its connection, or inside an event. It now has both (framing, inside_event). SseSplitter knows all line ends of the format and reads each byte once; before, a long event was read anew with each piece.

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -94,6 +94,15 @@
 constexpr int gatewayTimeout = 504;
 } // namespace status
 
+/** How the end of a response's body is recognized. */
+enum class BodyFraming : std::uint8_t {
+    Length, ///< by a length, which is 0 for a response without a body
+    Chunked, ///< by the last chunk
+    UntilClose, ///< by the end of the connection, so that a body that was broken off may look whole
+};
+/** Returns the framing as it is written to logs. */
+std::string_view toText(BodyFraming framing) noexcept;
+
 /** An IP address and port, written "127.0.0.1:80" or "[::1]:80". */
 struct SocketAddress {
     std::string ip;
@@ -320,6 +329,7 @@
 struct HttpHead {
     int status = 0;
     Headers headers;
+    BodyFraming framing = BodyFraming::Length;
 
     /** Value of a header; empty when there is none. */
     std::optional<std::string_view> header(std::string_view name) const noexcept;
@@ -501,6 +511,25 @@
     bool afterReturn_ = false;
 };
 
+/** Tells whether a stream of server-sent events stands between two events or inside one. */
+class SseBoundary
+{
+public:
+    /** Takes the next byte. @return true if it ends an empty line, and with it the event that has begun, if any */
+    bool feed(char byte) noexcept;
+    void feed(std::string_view bytes) noexcept;
+    /** Returns whether an event has begun that isn't complete. Comments are not part of an event. */
+    bool isInsideEvent() const noexcept
+    {
+        return isInsideEvent_;
+    }
+
+private:
+    bool isInsideEvent_ = false;
+    bool isLineStart_ = true;
+    bool isAfterReturn_ = false; ///< a line feed that comes next belongs to the line end before it
+};
+
 /** One event as it was received, with the empty line that ends it. */
 struct RawEvent {
     std::string id; ///< its own id; empty: it has none
@@ -513,19 +542,23 @@
 public:
     /** Takes the next bytes and returns the events they complete. */
     std::vector<RawEvent> feed(std::string_view bytes);
-    /** Bytes of an event that is not complete. */
-    std::size_t pendingBytes() const noexcept
+    /** Returns whether an event has begun that isn't complete. */
+    bool isInsideEvent() const noexcept
     {
-        return pending_.size();
+        return boundary_.isInsideEvent();
     }
-    /** Forgets an event that is not complete. */
-    void reset() noexcept
+    /** Bytes that follow the last whole event. */
+    std::size_t pendingBytes() const noexcept
     {
-        pending_.clear();
+        return pending_.size();
     }
+    /** Returns the bytes that follow the last whole event, such as a comment, and forgets them. */
+    std::string takeRest();
 
 private:
     std::string pending_;
+    std::size_t scanned_ = 0; ///< bytes of pending_ that boundary_ has been given
+    SseBoundary boundary_;
 };
 
 /** Writes one event. @param event its type; empty: message */
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -276,6 +276,9 @@
     }
     if (!headDelivered_) {
         headDelivered_ = true;
+        parser_->head.framing = parser_->need_eof() ? BodyFraming::UntilClose
+            : parser_->chunked()                    ? BodyFraming::Chunked
+                                                    : BodyFraming::Length;
         listener_->received(parser_->head);
     }
     if (listener_ != nullptr && !parser_->body.empty()) {
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -30,6 +30,19 @@
 
 } // namespace
 
+std::string_view toText(BodyFraming framing) noexcept
+{
+    switch (framing) {
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::UntilClose:
+        return "until-close";
+    case BodyFraming::Length:
+        break;
+    }
+    return "length";
+}
+
 std::optional<std::string_view> findHeader(const Headers &headers, std::string_view name) noexcept
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [&](const Header &header) {
--- a/libs/net/src/sse.cpp
+++ b/libs/net/src/sse.cpp
@@ -2,6 +2,27 @@
 
 namespace lacewing::net
 {
+namespace
+{
+
+/** Returns the value of the last "id" field of an event; empty if there is none. */
+std::string findEventId(std::string_view event)
+{
+    constexpr std::string_view idField = "id:";
+    std::string id;
+    while (!event.empty()) {
+        const auto end = event.find_first_of("\r\n");
+        std::string_view line = event.substr(0, end);
+        if (line.starts_with(idField)) {
+            line.remove_prefix(idField.size());
+            id = line.starts_with(' ') ? line.substr(1) : line;
+        }
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    }
+    return id;
+}
+
+} // namespace
 
 SseParser::SseParser(std::size_t maxEventBytes)
     : maxEventBytes_(maxEventBytes)
@@ -64,35 +85,61 @@
     }
 }
 
+bool SseBoundary::feed(char byte) noexcept
+{
+    if (byte == '\n' && isAfterReturn_) {
+        isAfterReturn_ = false;
+        return false;
+    }
+    isAfterReturn_ = byte == '\r';
+    if (byte == '\n' || byte == '\r') {
+        const bool isEmptyLine = isLineStart_;
+        isInsideEvent_ = isInsideEvent_ && !isEmptyLine;
+        isLineStart_ = true;
+        return isEmptyLine;
+    }
+    constexpr char commentMark = ':';
+    isInsideEvent_ = isInsideEvent_ || (isLineStart_ && byte != commentMark);
+    isLineStart_ = false;
+    return false;
+}
+
+void SseBoundary::feed(std::string_view bytes) noexcept
+{
+    for (const char byte : bytes) {
+        feed(byte);
+    }
+}
+
 std::vector<RawEvent> SseSplitter::feed(std::string_view bytes)
 {
     pending_ += bytes;
     std::vector<RawEvent> events;
     std::size_t begin = 0;
-    std::size_t lineBegin = 0;
-    std::string id;
-    for (std::size_t at = 0; at < pending_.size(); ++at) {
-        if (pending_[at] != '\n') {
+    while (scanned_ < pending_.size()) {
+        const char byte = pending_[scanned_++];
+        if (!boundary_.feed(byte)) {
             continue;
         }
-        std::string_view line = std::string_view(pending_).substr(lineBegin, at - lineBegin);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        lineBegin = at + 1;
-        constexpr std::string_view idField = "id:";
-        if (line.starts_with(idField)) {
-            line.remove_prefix(idField.size());
-            id = line.starts_with(' ') ? line.substr(1) : line;
-        } else if (line.empty()) {
-            events.push_back({ std::exchange(id, {}), pending_.substr(begin, lineBegin - begin) });
-            begin = lineBegin;
+        if (byte == '\r' && scanned_ < pending_.size() && pending_[scanned_] == '\n') {
+            boundary_.feed(pending_[scanned_++]);
         }
+        std::string event = pending_.substr(begin, scanned_ - begin);
+        begin = scanned_;
+        std::string id = findEventId(event);
+        events.push_back({ std::move(id), std::move(event) });
     }
     pending_.erase(0, begin);
+    scanned_ -= begin;
     return events;
 }
 
+std::string SseSplitter::takeRest()
+{
+    scanned_ = 0;
+    return std::exchange(pending_, {});
+}
+
 std::string sseEvent(std::string_view id, std::string_view data, std::string_view event)
 {
     std::string text;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -246,6 +246,7 @@
 {
     phase_ = Phase::AwaitingHead;
     bufferedBody_.clear();
+    eventBoundary_ = {};
     userplatform::ForwardParameters facts;
     facts.endpoint = entry.id;
     if (keyHolder_ != nullptr) {
@@ -307,6 +308,7 @@
     if (stages_ && stages_->hasResults()) {
         stages_->releaseAll();
     }
+    eventBoundary_.feed(bytes);
     forwardEvents(bytes);
 }
 
@@ -456,7 +458,7 @@
                                 { "attempts", attemptCount_ },
                                 { "after_event", lastEventId_ } },
                               now());
-    eventSplitter_.reset();
+    eventSplitter_ = {};
     if (stages_ && !stages_->hasResults()) {
         // The results were released once the last engine had read them.
         rerunFinalStages();
@@ -523,7 +525,9 @@
           { "stages_ms", stagesCompletedAt_ ? toMilliseconds(*stagesCompletedAt_ - request_.receivedAt) : -1 },
           { "first_byte_ms", timeToFirstByte ? toMilliseconds(*timeToFirstByte) : -1 },
           { "attempts", attemptCount_ },
-          { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() } },
+          { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() },
+          { "framing", attempt_ && timeToFirstByte ? toText(attempt_->head().framing) : std::string_view() },
+          { "inside_event", eventBoundary_.isInsideEvent() } },
         now());
     shared_.recordRequest(route, status, time);
     phase_ = Phase::Done;
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -88,7 +88,8 @@
     int attemptCount_ = 0; ///< attempts that may have reached an endpoint
     std::string bufferedBody_; ///< response body, unless it is streamed
     bool mayHaveRun_ = false; ///< whether an endpoint may have run the request
-    net::SseSplitter eventSplitter_;
+    net::SseSplitter eventSplitter_; ///< of a resumable stream
+    net::SseBoundary eventBoundary_; ///< of the stream of the latest attempt
     std::string lastEventId_; ///< id of the last event forwarded to the caller
     bool isHeadForwarded_ = false;
     bool isBodyForwarded_ = false;
