--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -73,6 +73,19 @@
     return endpoint;
 }
 
+platform_standin::RawEndpoint &Harness::addRawEndpoint(const std::string &id,
+                                                       const std::string &service,
+                                                       platform_standin::RawEndpoint::Script script)
+{
+    const platform_standin::Endpoint::Identity identity { id, service, "a" };
+    rawEndpoints_.push_back(
+        std::make_unique<platform_standin::RawEndpoint>(loop_, ipOf(2), identity, std::move(script)));
+    auto &endpoint = *rawEndpoints_.back();
+    cr_assert(endpoint.start().has_value());
+    store_->registerEndpoint(endpoint);
+    return endpoint;
+}
+
 void Harness::start()
 {
     start(0, vms_.size());
@@ -123,7 +136,9 @@
     call.body = std::move(body);
     const net::HttpLimits limits { waitTimeout, waitTimeout, waitTimeout, waitTimeout };
     net::fetch(client_, std::move(call), limits, [result](const net::HttpEnd &end, net::HttpResponse response) {
-        *result = Response { !end.error, response.head.status, response.head.headers, std::move(response.body) };
+        *result = Response {
+            !end.error, response.head.status, response.head.headers, std::move(response.body), response.head.framing
+        };
     });
     return result;
 }
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -29,6 +29,7 @@
     int status = 0; ///< 0 if there was no response
     net::Headers headers;
     std::string body;
+    net::BodyFraming framing = net::BodyFraming::Length;
 };
 
 class Harness
@@ -42,6 +43,9 @@
     platform_standin::Endpoint &addEndpoint(const std::string &id,
                                             const std::string &service,
                                             platform_standin::Endpoint::Behaviour behaviour);
+    platform_standin::RawEndpoint &addRawEndpoint(const std::string &id,
+                                                  const std::string &service,
+                                                  platform_standin::RawEndpoint::Script script);
     /** Starts all gateways and waits until they are ready. */
     void start();
     /** Starts the gateways of some VMs and waits until they are ready. */
@@ -99,6 +103,7 @@
     std::string network_; ///< first three octets of the loopback addresses of this test
     std::unique_ptr<platform_standin::Store> store_;
     std::vector<std::unique_ptr<platform_standin::Endpoint>> endpoints_;
+    std::vector<std::unique_ptr<platform_standin::RawEndpoint>> rawEndpoints_;
     net::HttpClient client_;
     std::vector<Vm> vms_;
 };
