Gateway: an answer is passed on with no more than its endpoint's framing

Cause: the end of an endpoint's connection was taken as the end of its answer and turned into a last chunk or a length, which vouch for the whole. An endpoint that crashes in an answer without length or chunks closes its connection the same way as one that has finished. And whether a stream stopped inside an event was looked at only on routes that may be resumed.

Now: the caller's response ends with its connection where the endpoint's did (streams and buffered answers); a stream that stops inside an event counts as a lost connection, so it is resumed or cut, and its endpoint is looked at for a crash; a resumed stream whose last endpoint marked no end gets no last chunk; an answer without a certain end clears no suspect. A response that ends with its connection is reset when it is cut, also by the kill of the VM: an orderly close would look like its end. The same holds for callers of HTTP/1.0, to whom chunks are never sent.

Found by the new tests of net: a response without chunks that ended while nothing was left to write was never closed (server::cutResponseNeverLooksWhole waited for the idle limit).

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -162,15 +162,27 @@
 public:
     ResponseWriter() = default;
 
-    /** Sends a whole response. A body over the bound on pending bytes is sent all the same. */
-    void respond(int status, const Headers &headers, const std::string &body);
-    /** Sends the head of a chunked response. */
-    void begin(int status, const Headers &headers);
-    /** Adds bytes to a chunked response; empty bytes have no effect. */
+    /**
+     * Sends a whole response. A body over the bound on pending bytes is sent all the same.
+     *
+     * @param framing Length, or UntilClose for a body that may lack its end; the connection is closed after that
+     */
+    void respond(int status,
+                 const Headers &headers,
+                 const std::string &body,
+                 BodyFraming framing = BodyFraming::Length);
+    /**
+     * Sends the head of a response whose body follows in parts.
+     *
+     * @param framing Chunked, or UntilClose for a body whose end is not certain. An HTTP/1.0 caller always gets
+     * UntilClose.
+     */
+    void begin(int status, const Headers &headers, BodyFraming framing = BodyFraming::Chunked);
+    /** Adds bytes to a response that has begun; empty bytes have no effect. */
     WriteOutcome write(std::string_view bytes);
-    /** Ends a chunked response. */
+    /** Ends a response that has begun. */
     void end();
-    /** Closes the connection without ending the response, so that the caller sees it as cut. */
+    /** Closes the connection without ending the response, so that the caller sees it as cut whatever its framing is. */
     void abort();
 
     /** Called once when the connection ends before the response was sent in full. */
--- a/libs/net/src/response_writer.cpp
+++ b/libs/net/src/response_writer.cpp
@@ -31,25 +31,29 @@
 ResponseWriter::Exchange::~Exchange()
 {
     if (phase_ == Phase::Waiting) {
-        respond(status::internalError, {}, {});
+        respond(status::internalError, {}, {}, BodyFraming::Length);
     } else if (phase_ == Phase::Streaming) {
         abort();
     }
 }
 
-void ResponseWriter::Exchange::respond(int status, const Headers &headers, const std::string &body)
+void ResponseWriter::Exchange::respond(int status, const Headers &headers, const std::string &body, BodyFraming framing)
 {
     const auto connection = connection_.lock();
     if (!connection || phase_ != Phase::Waiting) {
         return;
     }
     phase_ = Phase::Complete;
-    const bool keepAlive = keepAlive_ && !connection->isDraining();
-    ResponseFraming framing { version_, keepAlive, false, body.size() };
-    if (hasNoBody(status)) {
-        framing.contentLength.reset();
+    const bool isUntilClose = framing == BodyFraming::UntilClose;
+    const bool keepAlive = keepAlive_ && !isUntilClose && !connection->isDraining();
+    ResponseFraming headFraming { version_, keepAlive, false, body.size() };
+    if (hasNoBody(status) || isUntilClose) {
+        headFraming.contentLength.reset();
     }
-    std::string text = responseHead(status, headers, framing);
+    if (isUntilClose) {
+        connection->resetUnlessComplete();
+    }
+    std::string text = responseHead(status, headers, headFraming);
     if (!headOnly_ && !hasNoBody(status)) {
         text += body;
     }
@@ -57,15 +61,18 @@
     connection->responseComplete(keepAlive);
 }
 
-void ResponseWriter::Exchange::begin(int status, const Headers &headers)
+void ResponseWriter::Exchange::begin(int status, const Headers &headers, BodyFraming framing)
 {
     const auto connection = connection_.lock();
     if (!connection || phase_ != Phase::Waiting) {
         return;
     }
     phase_ = Phase::Streaming;
-    chunked_ = version_ >= firstVersionWithChunks;
+    chunked_ = framing != BodyFraming::UntilClose && version_ >= firstVersionWithChunks;
     keepAlive_ = keepAlive_ && chunked_ && !connection->isDraining();
+    if (!chunked_) {
+        connection->resetUnlessComplete();
+    }
     connection->send(responseHead(status, headers, { version_, keepAlive_, chunked_, std::nullopt }));
 }
 
@@ -151,17 +158,17 @@
 {
 }
 
-void ResponseWriter::respond(int status, const Headers &headers, const std::string &body)
+void ResponseWriter::respond(int status, const Headers &headers, const std::string &body, BodyFraming framing)
 {
     if (exchange_) {
-        exchange_->respond(status, headers, body);
+        exchange_->respond(status, headers, body, framing);
     }
 }
 
-void ResponseWriter::begin(int status, const Headers &headers)
+void ResponseWriter::begin(int status, const Headers &headers, BodyFraming framing)
 {
     if (exchange_) {
-        exchange_->begin(status, headers);
+        exchange_->begin(status, headers, framing);
     }
 }
 
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -289,6 +289,12 @@
     }
 }
 
+void ServerConnection::resetUnlessComplete()
+{
+    ErrorCode ignored; // the socket is gone, and with it the caller
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void ServerConnection::responseComplete(bool keepAlive)
 {
     if (phase_ != Phase::Responding) {
@@ -296,6 +302,10 @@
     }
     phase_ = Phase::Finishing;
     keepAlive_ = keepAlive;
+    if (pendingBytes() == 0) {
+        // No write is in flight whose end would complete the response.
+        shared_->loop.post([self = shared_from_this()] { self->flushDone({}); });
+    }
 }
 
 void ServerConnection::flush()
@@ -357,6 +367,7 @@
 {
     phase_ = Phase::Lingering;
     ErrorCode error;
+    socket_.set_option(asio::socket_base::linger(false, 0), error); // undoes resetUnlessComplete()
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     if (error || peerClosed_) {
         close();
--- a/libs/net/src/server_connection.h
+++ b/libs/net/src/server_connection.h
@@ -36,8 +36,8 @@
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
-    void respond(int status, const Headers &headers, const std::string &body);
-    void begin(int status, const Headers &headers);
+    void respond(int status, const Headers &headers, const std::string &body, BodyFraming framing);
+    void begin(int status, const Headers &headers, BodyFraming framing);
     WriteOutcome write(std::string_view bytes);
     void end();
     void abort();
@@ -88,6 +88,11 @@
     std::size_t maxPendingBytes() const noexcept;
     /** Queues bytes of the response. */
     void send(std::string_view bytes);
+    /**
+     * Resets the connection if it closes before the response is complete, also when the process is killed. A caller
+     * would take an orderly close as the end of a response that has no other.
+     */
+    void resetUnlessComplete();
     /** Queued bytes complete the response. */
     void responseComplete(bool keepAlive);
 
--- a/libs/net/tests/messages_test.cpp
+++ b/libs/net/tests/messages_test.cpp
@@ -30,8 +30,43 @@
     { "Y===", false }, { "Y=Jj", false }, { "YW-j", false }, { "YWJ\n", false }, { "====", false }, { " YWJj", false },
 };
 
+struct BoundaryCase {
+    char text[40];
+    bool isInsideEvent; ///< after the text
+};
+
+BoundaryCase boundaryCases[] = {
+    { "", false },
+    { "data: 1\n\n", false },
+    { "data: 1\r\n\r\n", false },
+    { "data: 1\r\r", false },
+    { "data: 1\n\n\n", false },
+    { ": comment\n", false },
+    { ": comm", false },
+    { "data: 1\n\n: comm", false },
+    { "d", true },
+    { "data: 1", true },
+    { "data: 1\n", true },
+    { "data: 1\r\n", true },
+    { "data: 1\r", true },
+    { "id: 7\ndata: 1\n: comment\n", true },
+    { "data: 1\n\nid: 2", true },
+};
+
 } // namespace
 
+ParameterizedTestParameters(messages, sseStreamEndsInsideOrBetweenEvents)
+{
+    return cr_make_param_array(BoundaryCase, boundaryCases, std::size(boundaryCases));
+}
+
+ParameterizedTest(BoundaryCase *param, messages, sseStreamEndsInsideOrBetweenEvents)
+{
+    SseBoundary boundary;
+    boundary.feed(param->text);
+    cr_assert_eq(boundary.isInsideEvent(), param->isInsideEvent, "%s", param->text);
+}
+
 ParameterizedTestParameters(messages, addresses)
 {
     return cr_make_param_array(AddressCase, addressCases, std::size(addressCases));
@@ -94,3 +129,26 @@
     cr_assert(parser.feed("data: 1\n\n").has_value());
     cr_assert(!parser.feed("data: 1234567"));
 }
+
+Test(messages, splitterKeepsEachByteOfAnySplit)
+{
+    const std::string text =
+        "id: 1\ndata: a\n\n: comment\n\nid:2\r\ndata: b\r\n\r\ndata: c\rid: 3\r\rdata: d\n\n: rest\n";
+    const std::vector<std::string> ids { "1", "", "2", "3", "" };
+    for (std::size_t split = 0; split <= text.size(); ++split) {
+        SseSplitter splitter;
+        auto events = splitter.feed(std::string_view(text).substr(0, split));
+        for (auto &event : splitter.feed(std::string_view(text).substr(split))) {
+            events.push_back(std::move(event));
+        }
+        std::string bytes;
+        std::vector<std::string> foundIds;
+        for (const auto &event : events) {
+            bytes += event.bytes;
+            foundIds.push_back(event.id);
+        }
+        cr_assert(foundIds == ids, "split at %zu", split);
+        cr_assert(!splitter.isInsideEvent());
+        cr_assert(bytes + splitter.takeRest() == text, "split at %zu", split);
+    }
+}
--- a/libs/net/tests/raw_socket.h
+++ b/libs/net/tests/raw_socket.h
@@ -2,6 +2,7 @@
 
 #include <net/net.h>
 
+#include <cerrno>
 #include <cstdlib>
 #include <functional>
 #include <string>
@@ -74,6 +75,24 @@
         }
         return text;
     }
+    /** What was read up to the end of a connection, and how that came. */
+    struct Received {
+        std::string text;
+        bool wasReset = false;
+    };
+    Received readToEnd() const
+    {
+        Received received;
+        char bytes[4096];
+        for (;;) {
+            const auto size = ::recv(descriptor_, bytes, sizeof bytes, 0);
+            if (size <= 0) {
+                received.wasReset = size < 0 && errno == ECONNRESET;
+                return received;
+            }
+            received.text.append(bytes, static_cast<std::size_t>(size));
+        }
+    }
     int descriptor() const noexcept
     {
         return descriptor_;
--- a/libs/net/tests/server_test.cpp
+++ b/libs/net/tests/server_test.cpp
@@ -37,6 +37,28 @@
     { "large chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n", "HTTP/1.1 413 " },
 };
 
+/** How a handler ends a response that it has begun. */
+enum class Finish : std::uint8_t { End, Abort, CloseAll };
+
+struct EndCase {
+    char request[32]; ///< request line
+    BodyFraming framing;
+    Finish finish;
+    bool looksWhole; ///< whether the caller sees an end of the response
+};
+
+EndCase endCases[] = {
+    { "GET / HTTP/1.1", BodyFraming::Chunked, Finish::End, true },
+    { "GET / HTTP/1.1", BodyFraming::Chunked, Finish::Abort, false },
+    { "GET / HTTP/1.1", BodyFraming::Chunked, Finish::CloseAll, false },
+    { "GET / HTTP/1.1", BodyFraming::UntilClose, Finish::End, true },
+    { "GET / HTTP/1.1", BodyFraming::UntilClose, Finish::Abort, false },
+    { "GET / HTTP/1.1", BodyFraming::UntilClose, Finish::CloseAll, false },
+    { "GET / HTTP/1.0", BodyFraming::Chunked, Finish::End, true },
+    { "GET / HTTP/1.0", BodyFraming::Chunked, Finish::Abort, false },
+    { "GET / HTTP/1.0", BodyFraming::Chunked, Finish::CloseAll, false },
+};
+
 constexpr std::size_t maxHeaderBytes = 500;
 constexpr std::size_t maxBodyBytes = 1000;
 
@@ -264,3 +286,52 @@
     cr_assert_eq(fixture->server.counters().cut, 0);
     cr_assert_eq(fixture->server.counters().open, 0);
 }
+
+ParameterizedTestParameters(server, cutResponseNeverLooksWhole)
+{
+    return cr_make_param_array(EndCase, endCases, std::size(endCases));
+}
+
+ParameterizedTest(EndCase *test, server, cutResponseNeverLooksWhole)
+{
+    std::optional<HttpFixture> fixture;
+    fixture.emplace([&](const HttpRequest &, ResponseWriter writer) {
+        writer.begin(status::ok, {}, test->framing);
+        writer.write("part");
+        // The part is sent before the response ends, as a part that is dropped with the connection shows nothing.
+        fixture->loop.timers().once(fixture->loop.clock().now() + 20ms, [&, writer](Time) mutable {
+            switch (test->finish) {
+            case Finish::End:
+                writer.end();
+                break;
+            case Finish::Abort:
+                writer.abort();
+                break;
+            case Finish::CloseAll:
+                fixture->server.closeAll();
+                break;
+            }
+        });
+    });
+    raw::Socket::Received received;
+    fixture->runBeside([&] {
+        const raw::Socket socket = raw::connectTo(fixture->server.address().port);
+        socket.send(std::string(test->request) + "\r\nConnection: close\r\n\r\n");
+        received = socket.readToEnd();
+    });
+    const bool isChunked = received.text.find("chunked") != std::string::npos;
+    const bool looksWhole = isChunked ? received.text.ends_with("0\r\n\r\n") : !received.wasReset;
+    cr_assert_eq(looksWhole, test->looksWhole, "%s: %s", test->request, received.text.c_str());
+    cr_assert_eq(received.text.find("Content-Length"), std::string::npos);
+}
+
+Test(server, wholeResponseWithoutLengthClosesTheConnection)
+{
+    HttpFixture fixture([](const HttpRequest &, ResponseWriter writer) {
+        writer.respond(status::ok, {}, "body", BodyFraming::UntilClose);
+    });
+    const std::string answer = fixture.exchange("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+    cr_assert_eq(countOf(answer, "HTTP/1.1 200"), 1);
+    cr_assert_eq(answer.find("Content-Length"), std::string::npos);
+    cr_assert(answer.ends_with("\r\n\r\nbody"));
+}
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -293,7 +293,10 @@
     phase_ = Phase::Streaming;
     if (!isHeadForwarded_) {
         isHeadForwarded_ = true;
-        writer_.begin(attempt_->head().status, userplatform::forwardableHeaders(attempt_->head()));
+        if (attempt_->head().framing == net::BodyFraming::UntilClose) {
+            forwardedFraming_ = net::BodyFraming::UntilClose;
+        }
+        writer_.begin(attempt_->head().status, userplatform::forwardableHeaders(attempt_->head()), forwardedFraming_);
     }
 }
 
@@ -348,25 +351,22 @@
 
 void RequestHandler::handleCompleteResponse()
 {
-    ++attemptCount_;
-    const auto &head = attempt_->head();
     if (phase_ == Phase::Streaming) {
-        closeAttempt(dispatch::SendOutcome::Answered);
-        if (eventSplitter_.pendingBytes() > 0) {
-            // The stream ended within an event, which was not forwarded, so the response is incomplete.
-            fail(0, "stream ended within an event");
-            return;
-        }
-        shared_.poisonRequests.onSucceeded(fingerprint_);
-        writer_.end();
-        finish(head.status, "streamed");
+        handleCompleteStream();
         return;
     }
+    ++attemptCount_;
+    const auto &head = attempt_->head();
+    // The framing is kept, as a body that ends with its connection may have been broken off.
+    const auto framing =
+        head.framing == net::BodyFraming::UntilClose ? net::BodyFraming::UntilClose : net::BodyFraming::Length;
     mayHaveRun_ = true;
     if (attempt_->isAuthentic(facts_.id)) {
         closeAttempt(dispatch::SendOutcome::Answered);
-        shared_.poisonRequests.onSucceeded(fingerprint_);
-        writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_);
+        if (framing != net::BodyFraming::UntilClose) {
+            shared_.poisonRequests.onSucceeded(fingerprint_);
+        }
+        writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_, framing);
         finish(head.status, "answered");
         return;
     }
@@ -377,13 +377,37 @@
     }
     const bool isEndpointFailure = attempt_->facts().hasReceipt && head.status >= net::status::internalError;
     if (isEndpointFailure && !isHeadForwarded_) {
-        writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_);
+        writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_, framing);
         finish(head.status, reason);
         return;
     }
     fail(net::status::badGateway, reason);
 }
 
+/** Ends the stream of a caller as its endpoint ended it, or resumes it if the endpoint broke it off. */
+void RequestHandler::handleCompleteStream()
+{
+    if (eventBoundary_.isInsideEvent()) {
+        handleTransportError({ Error { ErrorKind::ConnectionLost, "stream ended within an event" }, true, true });
+        return;
+    }
+    ++attemptCount_;
+    closeAttempt(dispatch::SendOutcome::Answered);
+    if (eventSplitter_.pendingBytes() > 0) {
+        forwardBytes(eventSplitter_.takeRest());
+    }
+    const auto &head = attempt_->head();
+    if (head.framing != net::BodyFraming::UntilClose) {
+        shared_.poisonRequests.onSucceeded(fingerprint_);
+    } else if (forwardedFraming_ != net::BodyFraming::UntilClose) {
+        // A resumed stream whose response began with chunks: a last chunk would vouch for an end that is not certain.
+        fail(0, "end of resumed stream not certain");
+        return;
+    }
+    writer_.end();
+    finish(head.status, "streamed");
+}
+
 void RequestHandler::handleNotRun()
 {
     const bool isWrongEndpoint = attempt_->facts().isMisdirected;
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -45,6 +45,7 @@
     void handleBody(std::string_view bytes);
     void handleAttemptEnd(const net::HttpEnd &end);
     void handleCompleteResponse();
+    void handleCompleteStream();
     void handleTransportError(const net::HttpEnd &end);
     void handleNotRun();
     void closeAttempt(dispatch::SendOutcome outcome);
@@ -92,6 +93,7 @@
     net::SseBoundary eventBoundary_; ///< of the stream of the latest attempt
     std::string lastEventId_; ///< id of the last event forwarded to the caller
     bool isHeadForwarded_ = false;
+    net::BodyFraming forwardedFraming_ = net::BodyFraming::Chunked; ///< of the stream as the caller gets it
     bool isBodyForwarded_ = false;
 };
 
--- a/tools/gateway/tests/answer_framing_test.cpp
+++ b/tools/gateway/tests/answer_framing_test.cpp
@@ -1,5 +1,7 @@
 #include "requests.h"
 
+#include <csignal>
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -19,6 +21,7 @@
     BetweenEvents,
     InsideEvent,
     LastEventUnfinished, ///< as far as the framing says, the answer is whole
+    OnlyThirdEvent, ///< the rest of a resumed stream, whole
 };
 
 /** What the bytes of an answer say about the answer's end. */
@@ -39,6 +42,8 @@
         return firstEvents + thirdEvent;
     case Cut::BetweenEvents:
         return firstEvents;
+    case Cut::OnlyThirdEvent:
+        return thirdEvent;
     case Cut::InsideEvent:
     case Cut::LastEventUnfinished:
         break;
@@ -51,7 +56,7 @@
 {
     const std::string body = cutBody(cut);
     std::string text = "HTTP/1.1 200 OK\r\n" + receipt + "Content-Type: text/event-stream\r\n";
-    const bool isFramedWhole = cut == Cut::None || cut == Cut::LastEventUnfinished;
+    const bool isFramedWhole = cut != Cut::BetweenEvents && cut != Cut::InsideEvent;
     if (framing == BodyFraming::Length) {
         const std::size_t length = isFramedWhole ? body.size() : cutBody(Cut::None).size();
         return text + "Content-Length: " + std::to_string(length) + "\r\n\r\n" + body;
@@ -115,6 +120,19 @@
     { "/unsafe/x", BodyFraming::UntilClose, Cut::InsideEvent, Ending::Reset, Claim::BrokenOff },
 };
 
+struct ResumeCase {
+    BodyFraming first; ///< of the answer that is broken off inside its third event
+    BodyFraming second; ///< of the answer with the rest
+    Claim claim; ///< that the caller may get
+};
+
+ResumeCase resumeCases[] = {
+    { BodyFraming::Chunked, BodyFraming::Chunked, Claim::Whole },
+    { BodyFraming::UntilClose, BodyFraming::UntilClose, Claim::EndUnknown },
+    { BodyFraming::UntilClose, BodyFraming::Chunked, Claim::EndUnknown },
+    { BodyFraming::Chunked, BodyFraming::UntilClose, Claim::BrokenOff },
+};
+
 /** Runs one VM with one endpoint of each service, which sends the same answer to each request. */
 struct Fixture {
     explicit Fixture(std::function<std::vector<std::string>(const std::string &receipt)> answer, Ending ending)
@@ -155,3 +173,50 @@
         cr_assert(response.body == cutBody(test->cut), "%s: %s", name.c_str(), response.body.c_str());
     }
 }
+
+ParameterizedTestParameters(answerFraming, resumedStreamClaimsNoMoreThanItsLastEndpoint)
+{
+    return cr_make_param_array(ResumeCase, resumeCases, std::size(resumeCases));
+}
+
+ParameterizedTest(ResumeCase *test, answerFraming, resumedStreamClaimsNoMoreThanItsLastEndpoint)
+{
+    Harness harness(1);
+    int answers = 0;
+    for (const char *id : { "g1", "g2" }) {
+        harness.addRawEndpoint(id, "engine", [&, id](const std::string &request) -> Answer {
+            const bool isFirst = ++answers == 1;
+            const auto framing = isFirst ? test->first : test->second;
+            const auto receipt = receiptHeaders(id, request);
+            if (isFirst) {
+                return { { answerText(receipt, framing, Cut::InsideEvent) }, Ending::Close };
+            }
+            const auto ending = framing == BodyFraming::UntilClose ? Ending::Close : Ending::KeepOpen;
+            return { { answerText(receipt, framing, Cut::OnlyThirdEvent) }, ending };
+        });
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    const auto response = harness.sendAndWait(0, "POST", "/resumable/x", headers("id-1"), "body");
+    const auto name = std::string(toText(test->first)) + ", " + std::string(toText(test->second));
+    cr_assert_eq(answers, 2, "%s", name.c_str());
+    cr_assert_eq(int(claimOf(response)), int(test->claim), "%s: %d", name.c_str(), int(claimOf(response)));
+    if (test->claim != Claim::BrokenOff) {
+        cr_assert(response.body == cutBody(Cut::None), "%s: %s", name.c_str(), response.body.c_str());
+    }
+}
+
+Test(answerFraming, streamWithoutFramingIsResetWhenItsVmIsKilled)
+{
+    Fixture f(
+        [](const std::string &receipt) -> std::vector<std::string> {
+            return { answerText(receipt, BodyFraming::UntilClose, Cut::BetweenEvents) };
+        },
+        Ending::KeepOpen);
+    const auto response = f.harness.sendAsync(0, "POST", "/stream/x", headers("id-1"), "body");
+    f.harness.waitFor([&] { return f.harness.receivedBytes() >= firstEvents.size(); }, "the first events");
+    f.harness.signal(0, SIGKILL);
+    f.harness.waitFor([&] { return response->has_value(); }, "a response");
+    cr_assert(claimOf(**response) == Claim::BrokenOff);
+}
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -135,11 +135,22 @@
     call.headers = std::move(headers);
     call.body = std::move(body);
     const net::HttpLimits limits { waitTimeout, waitTimeout, waitTimeout, waitTimeout };
-    net::fetch(client_, std::move(call), limits, [result](const net::HttpEnd &end, net::HttpResponse response) {
-        *result = Response {
-            !end.error, response.head.status, response.head.headers, std::move(response.body), response.head.framing
-        };
-    });
+    auto response = std::make_shared<Response>();
+    net::HttpHandlers handlers;
+    handlers.onHead = [response](const net::HttpHead &head) {
+        response->status = head.status;
+        response->headers = head.headers;
+        response->framing = head.framing;
+    };
+    handlers.onBody = [this, response](std::string_view bytes) {
+        response->body += bytes;
+        receivedBytes_ += bytes.size();
+    };
+    handlers.onDone = [result, response](const net::HttpEnd &end) {
+        response->isComplete = !end.error;
+        *result = std::move(*response);
+    };
+    client_.start(std::move(call), limits, std::move(handlers));
     return result;
 }
 
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -63,6 +63,11 @@
                                                        const std::string &target,
                                                        net::Headers headers,
                                                        std::string body = {});
+    /** Returns the number of body bytes that callers have received. */
+    std::size_t receivedBytes() const noexcept
+    {
+        return receivedBytes_;
+    }
     /** Returns the address of the store used by one VM only. */
     const std::string &storeAddress(std::size_t vm) const
     {
@@ -106,6 +111,7 @@
     std::vector<std::unique_ptr<platform_standin::RawEndpoint>> rawEndpoints_;
     net::HttpClient client_;
     std::vector<Vm> vms_;
+    std::size_t receivedBytes_ = 0;
 };
 
 } // namespace lacewing::gateway_test
