--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -218,6 +218,20 @@
     kill(vms_[vm].process, number);
 }
 
+std::size_t Harness::peakMemory(std::size_t vm) const
+{
+    constexpr std::string_view field = "VmHWM:";
+    constexpr std::size_t bytesPerKib = 1024;
+    std::ifstream status("/proc/" + std::to_string(vms_[vm].process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field)) {
+            return std::stoul(line.substr(field.size())) * bytesPerKib;
+        }
+    }
+    cr_assert_fail("no memory figure for vm %zu", vm);
+    return 0;
+}
+
 bool Harness::hasEnded(std::size_t vm)
 {
     if (vms_[vm].process > 0 && waitpid(vms_[vm].process, nullptr, WNOHANG) == vms_[vm].process) {
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -77,6 +77,8 @@
     std::string callersAddress(std::size_t vm) const;
     int readiness(std::size_t vm);
     void signal(std::size_t vm, int number);
+    /** Returns the largest amount of memory that the process of a VM has used so far, in bytes. */
+    std::size_t peakMemory(std::size_t vm) const;
     /** Returns whether the process of a VM has ended. */
     bool hasEnded(std::size_t vm);
 
