net: a request's chunk sizes, extensions and trailers are bounded

Found while looking for bytes without end: a caller that sent the size line of a chunk or a trailer without end was read without any bound, as the parser limits only heads and bodies and waits for the end of a line. Now 431 once the line is over the bound on heads.

--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -221,6 +221,10 @@
             return;
         }
         if (error == http::error::need_more) {
+            if (input_.size() > shared_->options.maxHeaderBytes()) {
+                // The parser bounds heads and bodies, but neither a chunk's size line nor a trailer.
+                rejectMalformed(http::error::header_limit);
+            }
             return;
         }
     }
--- a/libs/net/tests/server_test.cpp
+++ b/libs/net/tests/server_test.cpp
@@ -37,6 +37,23 @@
     { "large chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n", "HTTP/1.1 413 " },
 };
 
+struct EndlessCase {
+    char name[24];
+    char start[80];
+    char repeated[16]; ///< sent until the server closes the connection
+};
+
+EndlessCase endlessCases[] = {
+    { "request line", "GET /", "a" },
+    { "header", "GET / HTTP/1.1\r\nX: ", "a" },
+    { "headers", "GET / HTTP/1.1\r\n", "X: a\r\n" },
+    { "chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n" },
+    { "size of a chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
+    { "extension", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "a" },
+    { "trailer line", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "a" },
+    { "trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n" },
+};
+
 /** How a handler ends a response that it has begun. */
 enum class Finish : std::uint8_t { End, Abort, CloseAll };
 
@@ -335,3 +352,28 @@
     cr_assert_eq(answer.find("Content-Length"), std::string::npos);
     cr_assert(answer.ends_with("\r\n\r\nbody"));
 }
+
+ParameterizedTestParameters(server, endlessRequestIsRejected)
+{
+    return cr_make_param_array(EndlessCase, endlessCases, std::size(endlessCases));
+}
+
+ParameterizedTest(EndlessCase *test, server, endlessRequestIsRejected)
+{
+    constexpr int repeats = 200'000;
+    HttpFixture fixture(echo, smallBounds());
+    std::string bytes = test->start;
+    for (int count = 0; count < repeats; ++count) {
+        bytes += test->repeated;
+    }
+    std::string answer;
+    fixture.runBeside([&] {
+        const raw::Socket socket = raw::connectTo(fixture.server.address().port);
+        socket.send(bytes);
+        socket.closeSending();
+        answer = socket.read();
+    });
+    cr_assert(answer.starts_with("HTTP/1.1 4"), "%s: %s", test->name, answer.c_str());
+    cr_assert_eq(fixture.server.counters().requests, 0);
+    cr_assert_eq(fixture.server.counters().tooLarge, 1, "%s", test->name);
+}
