Gateway: answers without end take bounded memory

Cause: a response was bounded at 64 MiB each, on all connections together not at all; an event that does not end was collected without a bound, and so were the size line, extensions and trailer of a chunk, which the parser waits for.

Over a bound the connection is reset and the answer counts as failed.

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -210,7 +210,8 @@
 class HttpServerOptions
 {
 public:
-    /** Largest head of a request; over it is answered with 431. Default 16 KiB. */
+    /** Largest head of a request, and largest line of a chunk or trailer; over it is answered with 431. Default 16 KiB.
+     */
     HttpServerOptions &maxHeaderBytes(std::size_t bytes);
     /** Largest body of a request; over it is answered with 413. Default 8 MiB. */
     HttpServerOptions &maxBodyBytes(std::size_t bytes);
@@ -384,7 +385,7 @@
      * announced with Keep-Alive how long it keeps it. Default 250 ms.
      */
     HttpClientOptions &trustIdle(Duration time);
-    /** Largest head of a response. Default 16 KiB. */
+    /** Largest head of a response, and largest line of a chunk or trailer. Default 16 KiB. */
     HttpClientOptions &maxHeaderBytes(std::size_t bytes);
     /** Largest body of a response. Default 64 MiB. */
     HttpClientOptions &maxBodyBytes(std::size_t bytes);
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -256,6 +256,10 @@
             return;
         }
         if (error == http::error::need_more) {
+            if (input_.size() > options_.maxHeaderBytes()) {
+                // The parser bounds heads and bodies, but neither a chunk's size line nor a trailer.
+                fail(ErrorKind::TooLarge, "line of a chunk or trailer over the bound");
+            }
             return;
         }
     }
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -27,6 +27,8 @@
 /** Connections to one endpoint: a few concurrent calls and the release calls. */
 constexpr std::size_t maxConnectionsPerEndpoint = 16;
 constexpr Duration idleTimeout = 4s;
+/** Maximum size of a response: a handle or reason for each piece of a call. */
+constexpr std::size_t maxResponseBytes = std::size_t(1) << 20U;
 
 /** Returns the upper bounds of the histogram buckets of call fullness: 0.1 to 1. */
 std::vector<double> fullnessBuckets()
@@ -48,7 +50,11 @@
     , links(fleetLinks)
     , state(fleetState)
     , poisonRequests(poisonRequestGuard)
-    , client(context.loop, net::HttpClientOptions().maxPerAddress(maxConnectionsPerEndpoint).keepIdle(idleTimeout))
+    , client(context.loop,
+             net::HttpClientOptions()
+                 .maxPerAddress(maxConnectionsPerEndpoint)
+                 .keepIdle(idleTimeout)
+                 .maxBodyBytes(maxResponseBytes))
     , callCounter(context.metrics.counter({ "piece_calls", "Calls to endpoints of stages" }))
     , pieceCounter(context.metrics.counter({ "pieces", "Pieces in calls to endpoints of stages" }))
     , fullnessHistogram(context.metrics.histogram(
@@ -156,7 +162,7 @@
     const std::uint64_t number = ++lastCallNumber_;
     const auto handle = net::fetch(shared_.client,
                                    std::move(request),
-                                   { connectTimeout, timeout, timeout, 0s },
+                                   { connectTimeout, timeout, timeout, connectTimeout + 2 * timeout },
                                    [this, number](const net::HttpEnd &end, const net::HttpResponse &response) {
                                        const auto inFlight = inFlightCalls_.extract(number);
                                        if (!inFlight.empty()) {
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_budget.h"
 #include "context.h"
 #include "decision_log.h"
 #include "fleet_state.h"
@@ -30,6 +31,9 @@
     std::unordered_map<routing::RouteId, double> averages_;
 };
 
+/** Maximum size of all buffered responses of a VM. The smallest VMs have 160 MB. */
+constexpr std::size_t maxTotalBufferedBytes = std::size_t(32) << 20U;
+
 /** Services and state shared by all requests on one VM. */
 struct RequestContext {
     Context &context;
@@ -48,6 +52,7 @@
     RouteAverages pieceCountAverages; ///< pieces of a request
     std::set<std::shared_ptr<RequestHandler>> activeRequests;
     dispatch::FleetSizeEstimate fleetSize;
+    ByteBudget bufferedBytes { maxTotalBufferedBytes }; ///< of responses that are not streamed
 
     /** Returns among how many VMs a limit of the whole fleet is divided. */
     std::size_t vmCount();
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -11,6 +11,8 @@
 
 /** A request is not retried with less time than this left until its deadline. */
 constexpr Duration minTimeToRetry = 60ms;
+/** Maximum size of a response that is not streamed. */
+constexpr std::size_t maxBufferedBytes = std::size_t(8) << 20U;
 /** Limit on reruns of the stages of one request because an engine lacked their results. */
 constexpr int maxMissingInputRetries = 2;
 /** Retry-after of rejected requests, and the fraction of its jitter, which spreads the retries of callers. */
@@ -245,7 +247,7 @@
 void RequestHandler::sendTo(const routing::EndpointEntry &entry, const ResultBytes &results)
 {
     phase_ = Phase::AwaitingHead;
-    bufferedBody_.clear();
+    clearBufferedBody();
     eventBoundary_ = {};
     userplatform::ForwardParameters facts;
     facts.endpoint = entry.id;
@@ -303,7 +305,7 @@
 void RequestHandler::handleBody(std::string_view bytes)
 {
     if (phase_ != Phase::Streaming) {
-        bufferedBody_ += bytes;
+        bufferBody(bytes);
         return;
     }
     // The first body bytes show that the engine has read its inputs and prompt.
@@ -315,6 +317,22 @@
     forwardEvents(bytes);
 }
 
+void RequestHandler::bufferBody(std::string_view bytes)
+{
+    const bool fits = bufferedBody_.size() + bytes.size() <= maxBufferedBytes;
+    if (!fits || !shared_.bufferedBytes.tryAcquire(bytes.size())) {
+        handleTransportError({ Error { ErrorKind::TooLarge, "response too large to buffer" }, true, true });
+        return;
+    }
+    bufferedBody_ += bytes;
+}
+
+void RequestHandler::clearBufferedBody()
+{
+    shared_.bufferedBytes.release(bufferedBody_.size());
+    bufferedBody_ = {};
+}
+
 void RequestHandler::forwardEvents(std::string_view bytes)
 {
     if (!route_->isResumable) {
@@ -328,6 +346,9 @@
         }
         forwardBytes(event.bytes);
     }
+    if (phase_ == Phase::Streaming && eventSplitter_.pendingBytes() > net::SseParser::defaultMaxEventBytes) {
+        handleTransportError({ Error { ErrorKind::TooLarge, "event too large to buffer" }, true, true });
+    }
 }
 
 void RequestHandler::forwardBytes(std::string_view bytes)
@@ -557,6 +578,7 @@
     phase_ = Phase::Done;
     shared_.context.loop.timers().cancel(deadlineTimer_);
     closeAttempt(dispatch::SendOutcome::Cancelled);
+    clearBufferedBody();
     if (stages_) {
         stages_->stop();
     }
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -49,6 +49,8 @@
     void handleTransportError(const net::HttpEnd &end);
     void handleNotRun();
     void closeAttempt(dispatch::SendOutcome outcome);
+    void bufferBody(std::string_view bytes);
+    void clearBufferedBody();
     void forwardEvents(std::string_view bytes);
     void forwardBytes(std::string_view bytes);
     bool retry(std::string_view reason, bool mayHaveRun);
