--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -282,9 +282,12 @@
         requeue(call);
         return;
     }
-    if (!end.error) {
+    // An answer whose end was marked by the end of its connection alone, and that can't be read, was broken off.
+    const bool isBrokenOff =
+        !end.error && head.status == net::status::ok && head.framing == net::BodyFraming::UntilClose;
+    if (!end.error && !isBrokenOff) {
         reportFailed(call);
-    } else if (end.error->kind == ErrorKind::ConnectionLost) {
+    } else if (isBrokenOff || end.error->kind == ErrorKind::ConnectionLost) {
         // Retried pieces would run at the next endpoint before it is known that they are suspect.
         shared_.poisonRequests.onCallLost(
             inFlight.entry, call.pieces, shared_.client, [this, call] { reportFailed(call); });
--- a/tools/gateway/tests/answer_framing_test.cpp
+++ b/tools/gateway/tests/answer_framing_test.cpp
@@ -135,7 +135,7 @@
 
 /** Runs one VM with one endpoint of each service, which sends the same answer to each request. */
 struct Fixture {
-    explicit Fixture(std::function<std::vector<std::string>(const std::string &receipt)> answer, Ending ending)
+    explicit Fixture(const std::function<std::vector<std::string>(const std::string &receipt)> &answer, Ending ending)
         : harness(1)
     {
         for (const char *service : { "plain", "engine" }) {
--- a/tools/gateway/tests/poison_request_test.cpp
+++ b/tools/gateway/tests/poison_request_test.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 using namespace lacewing;
 using namespace lacewing::gateway_test;
@@ -157,3 +158,45 @@
     cr_assert_eq((*waiting)->status, 503, "%d", (*waiting)->status);
     cr_assert_eq(countExecutions(harness), 3U, "%zu", countExecutions(harness));
 }
+
+namespace
+{
+
+struct CrashCase {
+    char service[16]; ///< of the endpoint that crashes
+    char answer[64]; ///< what it has sent of its answer
+    char logLine[24];
+};
+
+CrashCase crashCases[] = {
+    { "engine", "data: 1\n\ndata: ", "\"suspect request\"" },
+    { "first", "{\"items\":[{\"handle\":", "\"suspect pieces\"" },
+};
+
+} // namespace
+
+ParameterizedTestParameters(gateway, crashInAnAnswerWithoutFramingIsNoticed)
+{
+    return cr_make_param_array(CrashCase, crashCases, std::size(crashCases));
+}
+
+ParameterizedTest(CrashCase *test, gateway, crashInAnAnswerWithoutFramingIsNoticed)
+{
+    Harness harness(1);
+    for (const char *service : { "engine", "first", "second" }) {
+        const std::string id = std::string(service) + "-1";
+        if (std::string_view(service) != test->service) {
+            harness.addEndpoint(
+                id, service, std::string_view(service) == "engine" ? Behaviour::Stream : Behaviour::Respond);
+            continue;
+        }
+        harness.addRawEndpoint(id, service, [test, id](const std::string &request) -> RawEndpoint::Answer {
+            const std::string head = "HTTP/1.1 200 OK\r\n" + receiptHeaders(id, request) + "Connection: close\r\n\r\n";
+            return { { head + test->answer }, RawEndpoint::Ending::Crash };
+        });
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    const auto response = harness.sendAsync(0, "POST", "/staged/x", stagedHeaders("1", { 1, 1 }), "body");
+    harness.waitForLogLines({ 0 }, test->logLine, 1);
+}
