Gateway: a store that comes back from an older copy

Before, a VM that had read past the end of the copy started again from it, but compared its offsets with those of the lost history: every later record at a lower offset was ignored, so desired states never came into force (30 s and more in the tests), and endpoints that the copy did not list were dropped at once.

--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -186,6 +186,7 @@
     Draining, ///< accepts no new requests from now on
     Removed,
     Updated,
+    Held, ///< registered, but known to have ended; see EndpointDirectory::onRegistryRolledBack()
 };
 
 /**
@@ -194,6 +195,9 @@
  * An endpoint that is draining stays so for the rest of its incarnation. An entry that is removed during a registry
  * outage or shortly after it may have expired only because of the outage, so the endpoint stays available until
  * `gracePeriod` after the registry has been restored.
+ *
+ * A registry that comes back from an older copy lists lifetimes that have ended since. Those that this directory knows
+ * to have ended are held back until the registry has had time to remove them.
  */
 class EndpointDirectory
 {
@@ -214,9 +218,17 @@
     void onRegistryLost(Time now);
     /** Called when the registry responds again. */
     void onRegistryRestored(Time now);
-    /** Removes entries whose grace period has ended. @return the number of removed entries */
-    std::size_t expire(Time now);
-    /** Returns the next time at which expire() will remove an entry; empty if none is scheduled. */
+    /** Called when the registry has come back from an older copy, before the entries of that copy are applied. */
+    void onRegistryRolledBack(Time now);
+
+    /** Numbers of entries that expire() has changed. */
+    struct Expiry {
+        std::size_t removed = 0;
+        std::size_t released = 0; ///< were held, and are available now
+    };
+    /** Removes entries whose grace period has ended, and releases those that were held back. */
+    Expiry expire(Time now);
+    /** Returns the next time at which expire() will remove or release an entry; empty if none is scheduled. */
     std::optional<Time> nextExpiry() const noexcept;
 
     /** Returns the available endpoints of a service, sorted by id. Valid until the directory changes. */
@@ -237,19 +249,30 @@
         EndpointEntry entry;
         std::optional<Time> removalDueAt; ///< removal time of an entry that is missing after an outage
         bool isExcluded = false;
+        std::optional<Time> heldUntil; ///< until then, the entry counts as a copy of a lifetime that has ended
 
         bool isAvailable() const noexcept
         {
-            return entry.readiness == Readiness::Ready && !isExcluded;
+            return entry.readiness == Readiness::Ready && !isExcluded && !heldUntil;
         }
     };
+    /** The last lifetime of an endpoint that is known to have ended. */
+    struct EndedLifetime {
+        Incarnation incarnation;
+        Time endedAt;
+    };
 
     bool isAffectedByOutage(Time now) const noexcept;
+    void recordEnd(const EndpointEntry &entry, Time now);
+    std::optional<Time> holdTime(const EndpointEntry &entry, Time now) const;
+    DirectoryChange add(const EndpointEntry &entry, Time now);
     void rebuildIndex() const;
 
     Duration gracePeriod_;
     bool isRegistryLost_ = false;
     std::optional<Time> registryRestoredAt_;
+    std::optional<Time> registryRolledBackAt_;
+    std::unordered_map<EndpointId, EndedLifetime> endedLifetimes_;
     std::uint64_t revision_ = 1;
     std::unordered_map<EndpointId, Record> records_;
     /** Cached results of availableEndpoints() as of indexedRevision_: they are read for each request, while entries
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -4,27 +4,39 @@
 
 namespace lacewing::routing
 {
+namespace
+{
+
+/** A copy of the registry is some seconds old, so it can't list lifetimes that have ended long before. */
+constexpr Duration endedLifetimeRetention = std::chrono::seconds(60);
+/** The registry removes an endpoint that is silent for three heartbeats, of up to 2 s each; and a margin. */
+constexpr Duration rollbackHoldTime = std::chrono::seconds(10);
+
+} // namespace
 
 EndpointDirectory::EndpointDirectory(Duration gracePeriod)
     : gracePeriod_(gracePeriod)
 {
 }
 
-DirectoryChange EndpointDirectory::update(const EndpointEntry &entry, Time)
+DirectoryChange EndpointDirectory::update(const EndpointEntry &entry, Time now)
 {
     const auto found = records_.find(entry.id);
     if (found == records_.end()) {
-        records_.emplace(entry.id, Record { entry, std::nullopt, false });
-        ++revision_;
-        return entry.readiness == Readiness::Ready ? DirectoryChange::Joined : DirectoryChange::Draining;
+        return add(entry, now);
     }
     Record &record = found->second;
-    record.removalDueAt.reset();
     if (record.entry.incarnation != entry.incarnation) {
-        record = Record { entry, std::nullopt, false };
-        ++revision_;
-        return entry.readiness == Readiness::Ready ? DirectoryChange::Joined : DirectoryChange::Draining;
+        const bool isOlderCopy = registryRolledBackAt_ && now < *registryRolledBackAt_ + rollbackHoldTime
+            && entry.incarnation < record.entry.incarnation;
+        if (isOlderCopy) {
+            return DirectoryChange::None;
+        }
+        recordEnd(record.entry, now);
+        records_.erase(found);
+        return add(entry, now);
     }
+    record.removalDueAt.reset();
     const bool wasLeaving = record.entry.readiness == Readiness::Draining;
     EndpointEntry merged = entry;
     if (wasLeaving) {
@@ -49,11 +61,40 @@
         found->second.removalDueAt = isRegistryLost_ ? Time::max() : *registryRestoredAt_ + gracePeriod_;
         return DirectoryChange::Updated;
     }
+    recordEnd(found->second.entry, now);
     records_.erase(found);
     ++revision_;
     return DirectoryChange::Removed;
 }
 
+DirectoryChange EndpointDirectory::add(const EndpointEntry &entry, Time now)
+{
+    const auto heldUntil = holdTime(entry, now);
+    records_.emplace(entry.id, Record { entry, std::nullopt, false, heldUntil });
+    ++revision_;
+    if (heldUntil) {
+        return DirectoryChange::Held;
+    }
+    return entry.readiness == Readiness::Ready ? DirectoryChange::Joined : DirectoryChange::Draining;
+}
+
+void EndpointDirectory::recordEnd(const EndpointEntry &entry, Time now)
+{
+    std::erase_if(endedLifetimes_,
+                  [&](const auto &item) { return now - item.second.endedAt > endedLifetimeRetention; });
+    EndedLifetime &ended = endedLifetimes_[entry.id];
+    ended = { std::max(ended.incarnation, entry.incarnation), now };
+}
+
+/** Returns until when an entry has to be held back; empty if it is believed. */
+std::optional<Time> EndpointDirectory::holdTime(const EndpointEntry &entry, Time now) const
+{
+    const auto ended = endedLifetimes_.find(entry.id);
+    const bool isHeld = registryRolledBackAt_ && now < *registryRolledBackAt_ + rollbackHoldTime
+        && ended != endedLifetimes_.end() && entry.incarnation <= ended->second.incarnation;
+    return isHeld ? std::optional(*registryRolledBackAt_ + rollbackHoldTime) : std::nullopt;
+}
+
 std::size_t EndpointDirectory::retain(const std::vector<EndpointId> &present, Time now)
 {
     std::vector<EndpointId> absent;
@@ -96,25 +137,45 @@
     }
 }
 
-std::size_t EndpointDirectory::expire(Time now)
+void EndpointDirectory::onRegistryRolledBack(Time now)
+{
+    registryRolledBackAt_ = now;
+    if (!isRegistryLost_) {
+        // Live endpoints that the copy does not list yet register again, as after an outage.
+        registryRestoredAt_ = now;
+    }
+}
+
+EndpointDirectory::Expiry EndpointDirectory::expire(Time now)
 {
-    const auto removed = std::erase_if(
-        records_, [&](const auto &item) { return item.second.removalDueAt <= now && item.second.removalDueAt; });
-    if (removed > 0) {
+    Expiry expiry;
+    for (auto it = records_.begin(); it != records_.end();) {
+        Record &record = it->second;
+        if (record.heldUntil && *record.heldUntil <= now) {
+            record.heldUntil.reset();
+            ++expiry.released;
+        }
+        if (record.removalDueAt && *record.removalDueAt <= now) {
+            recordEnd(record.entry, now);
+            it = records_.erase(it);
+            ++expiry.removed;
+        } else {
+            ++it;
+        }
+    }
+    if (expiry.removed + expiry.released > 0) {
         ++revision_;
     }
-    return removed;
+    return expiry;
 }
 
 std::optional<Time> EndpointDirectory::nextExpiry() const noexcept
 {
-    std::optional<Time> next;
+    Time next = Time::max();
     for (const auto &[id, record] : records_) {
-        if (record.removalDueAt && (!next || *record.removalDueAt < *next)) {
-            next = record.removalDueAt;
-        }
+        next = std::min({ next, record.removalDueAt.value_or(Time::max()), record.heldUntil.value_or(Time::max()) });
     }
-    return next == Time::max() ? std::nullopt : next;
+    return next == Time::max() ? std::nullopt : std::optional(next);
 }
 
 const std::vector<const EndpointEntry *> &EndpointDirectory::availableEndpoints(const ServiceId &service) const
--- a/libs/routing/tests/endpoint_directory_test.cpp
+++ b/libs/routing/tests/endpoint_directory_test.cpp
@@ -1,6 +1,7 @@
 #include <routing/routing.h>
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 using namespace lacewing;
 using namespace lacewing::routing;
@@ -71,8 +72,8 @@
     f.directory.remove(EndpointId("dead"), start + 5s);
     cr_assert(f.isAvailable("back") && f.isAvailable("dead"));
     f.directory.update(entry("back"), start + 6s);
-    cr_assert_eq(f.directory.expire(start + 6900ms), 0U);
-    cr_assert_eq(f.directory.expire(start + 7s), 1U);
+    cr_assert_eq(f.directory.expire(start + 6900ms).removed, 0U);
+    cr_assert_eq(f.directory.expire(start + 7s).removed, 1U);
     cr_assert(f.isAvailable("back"));
     cr_assert_not(f.isAvailable("dead"));
 }
@@ -139,3 +140,86 @@
     f.directory.expire(start + 2s);
     cr_assert_eq(count("t"), 0U);
 }
+
+namespace
+{
+
+enum class Known : std::uint8_t { Nothing, Ready, Draining, Removed, Replaced };
+
+struct RollbackCase {
+    char name[48];
+    Known known; ///< about lifetime 2 before the rollback
+    std::uint64_t listed; ///< incarnation listed by the copy; 0: none
+    bool isUsedAtOnce;
+    bool isUsedLater; ///< after the time in which the registry removes what has ended
+};
+
+RollbackCase rollbackCases[] = {
+    { "unknown, listed", Known::Nothing, 2, true, true },
+    { "ready, listed", Known::Ready, 2, true, true },
+    { "ready, not listed yet", Known::Ready, 0, true, false },
+    { "draining, listed as ready", Known::Draining, 2, false, false },
+    { "draining, not listed", Known::Draining, 0, false, false },
+    { "ended, listed as ready", Known::Removed, 2, false, true },
+    { "ended, its predecessor listed", Known::Removed, 1, false, true },
+    { "ended, a later one listed", Known::Removed, 3, true, true },
+    { "replaced, the older one listed", Known::Replaced, 2, true, true },
+};
+
+} // namespace
+
+ParameterizedTestParameters(endpointDirectory, rollbackOfTheRegistry)
+{
+    return cr_make_param_array(RollbackCase, rollbackCases, std::size(rollbackCases));
+}
+
+ParameterizedTest(RollbackCase *test, endpointDirectory, rollbackOfTheRegistry)
+{
+    Fixture f;
+    const EndpointId id("e");
+    if (test->known != Known::Nothing) {
+        f.directory.update(entry("e", 2), start);
+    }
+    if (test->known == Known::Draining) {
+        f.directory.update(entry("e", 2, Readiness::Draining), start);
+    } else if (test->known == Known::Removed) {
+        f.directory.remove(id, start);
+    } else if (test->known == Known::Replaced) {
+        f.directory.update(entry("e", 3), start);
+    }
+    const Time rollback = start + 5s;
+    f.directory.onRegistryRolledBack(rollback);
+    if (test->listed > 0) {
+        f.directory.update(entry("e", test->listed), rollback);
+    } else {
+        f.directory.retain({}, rollback);
+    }
+    cr_assert_eq(f.isAvailable("e"), test->isUsedAtOnce, "%s", test->name);
+    for (Time now = rollback; now <= rollback + 20s; now += 100ms) {
+        f.directory.expire(now);
+    }
+    cr_assert_eq(f.isAvailable("e"), test->isUsedLater, "%s", test->name);
+    cr_assert_not(f.directory.nextExpiry().has_value(), "%s", test->name);
+}
+
+Test(endpointDirectory, endedLifetimeThatTheRegistryRemovesAfterARollbackIsNeverUsed)
+{
+    Fixture f;
+    f.directory.update(entry("e", 2), start);
+    f.directory.remove(EndpointId("e"), start);
+    f.directory.onRegistryRolledBack(start + 5s);
+    cr_assert_eq(f.directory.update(entry("e", 2), start + 5s), DirectoryChange::Held);
+    f.directory.remove(EndpointId("e"), start + 9s);
+    f.directory.expire(start + 20s);
+    cr_assert_not(f.isAvailable("e"));
+    cr_assert_eq(f.directory.size(), 0U);
+}
+
+Test(endpointDirectory, endpointRegisteredAgainWithoutARollbackIsUsedAtOnce)
+{
+    Fixture f;
+    f.directory.update(entry("e", 2), start);
+    f.directory.remove(EndpointId("e"), start);
+    cr_assert_eq(f.directory.update(entry("e", 2), start + 1s), DirectoryChange::Joined);
+    cr_assert(f.isAvailable("e"));
+}
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -7,6 +7,7 @@
 namespace
 {
 
+using userplatform::LogPosition;
 using userplatform::StoreRecord;
 using userplatform::Topic;
 
@@ -27,6 +28,8 @@
 /** Interval of the checks for registrations that expired after an outage of the store. */
 constexpr Duration expiryCheckInterval = 200ms;
 constexpr peer::CallLimits recordCallLimits { 300ms, 500ms, 500ms, 1s };
+/** Spreads the writes of all VMs after the store has lost them; a fleet of 370 VMs writes some 190 a second. */
+constexpr Duration maxRewriteDelay = 2s;
 /** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
 constexpr std::string_view quarantineKeyPrefix = "quarantine/";
 
@@ -52,10 +55,12 @@
 
 FleetState::FleetState(Context &context,
                        FleetLinks &links,
+                       std::uint64_t seed,
                        std::function<void()> onChanged,
                        std::function<void(const SuspectMessage &)> onQuarantineRead)
     : context_(context)
     , links_(links)
+    , random_(seed)
     , onChanged_(std::move(onChanged))
     , onQuarantineRead_(std::move(onQuarantineRead))
     , store_(context.loop, context.settings.storeAddress)
@@ -84,15 +89,15 @@
 void FleetState::watch(Topic topic, const userplatform::WatchOptions &times)
 {
     userplatform::TopicHandlers handlers;
-    handlers.onSnapshot = [this, topic](const std::vector<StoreRecord> &records, LogOffset endOffset) {
-        applyRecords(topic, records, endOffset.value(), true);
+    handlers.onSnapshot = [this, topic](const std::vector<StoreRecord> &records, LogPosition end) {
+        applyRecords(topic, records, end, true);
     };
-    handlers.onRecords = [this, topic](const std::vector<StoreRecord> &records, LogOffset endOffset) {
-        const std::uint64_t previousEndOffset = replicas_[topic].endOffset;
-        if (endOffset.value() > previousEndOffset) {
-            pushRecords(topic, previousEndOffset, records);
+    handlers.onRecords = [this, topic](const std::vector<StoreRecord> &records, LogPosition end) {
+        const LogPosition previousEnd = replicas_[topic].end;
+        if (end > previousEnd) {
+            pushRecords(topic, previousEnd, records);
         }
-        applyRecords(topic, records, endOffset.value(), false);
+        applyRecords(topic, records, end, false);
     };
     handlers.onUnavailable = [this, topic](const std::string &error) {
         replicas_[topic].isStoreLost = true;
@@ -113,12 +118,13 @@
     store_.watch(topic, times, std::move(handlers));
 }
 
-void FleetState::applyRecords(Topic topic,
-                              const std::vector<StoreRecord> &records,
-                              std::uint64_t endOffset,
-                              bool isSnapshot)
+void FleetState::applyRecords(Topic topic, const std::vector<StoreRecord> &records, LogPosition end, bool isSnapshot)
 {
     TopicReplica &replica = replicas_[topic];
+    const bool isRollback = end.era() > replica.end.era() && replica.end != LogPosition();
+    if (isRollback) {
+        handleRollback(topic, end.era());
+    }
     if (isSnapshot && topic == Topic::Endpoints) {
         std::vector<EndpointId> remaining;
         for (const auto &record : records) {
@@ -126,69 +132,119 @@
         }
         endpoints_.retain(remaining, context_.now());
         endpointsLoaded_ = true;
+        markRemoved(replica, records, end);
     }
-    if (isSnapshot) {
-        markRemoved(replica, records, endOffset);
+    if (isRollback && isSnapshot && topic == Topic::Vms) {
+        rewriteLostRecords(records);
     }
     for (const auto &record : records) {
+        if (topic == Topic::Operator) {
+            applyDesiredState(replica, record);
+            continue;
+        }
         auto &latest = replica.records[record.key];
-        if (latest.key.empty() || latest.offset <= record.offset) {
+        if (latest.key.empty() || latest.position <= record.position) {
             latest = record;
-            applyRecord(topic, record);
+            if (topic == Topic::Endpoints) {
+                applyEndpoint(record);
+            } else {
+                applyVm(record);
+            }
         }
     }
-    replica.endOffset = std::max(replica.endOffset, endOffset);
+    replica.end = std::max(replica.end, end);
     notifyChanged();
 }
 
+/** Called when the store has come back from an older copy, before the records of its new era are applied. */
+void FleetState::handleRollback(Topic topic, std::uint64_t era)
+{
+    context_.logger.warn(
+        "store rolled back",
+        { { "topic", topicName(topic) }, { "from_era", replicas_[topic].end.era() }, { "to_era", era } });
+    context_.metrics
+        .counter({ "store_rollbacks", "Times that the store came back from an older copy" },
+                 { { "topic", std::string(topicName(topic)) } })
+        .add();
+    if (topic == Topic::Endpoints) {
+        endpoints_.onRegistryRolledBack(context_.now());
+    }
+}
+
+/** Writes this VM's address again if the store has lost it, and quarantines if this VM is responsible for them. */
+void FleetState::rewriteLostRecords(const std::vector<StoreRecord> &remaining)
+{
+    const bool writesQuarantines = links_.isResponsible("quarantines", 1);
+    std::vector<StoreRecord> lost;
+    for (const auto &[key, record] : replicas_[Topic::Vms].records) {
+        const bool isOwn = key == context_.settings.vm.text();
+        const bool isQuarantine = writesQuarantines && key.starts_with(quarantineKeyPrefix);
+        const bool isLost = std::none_of(
+            remaining.begin(), remaining.end(), [&, name = key](const auto &present) { return present.key == name; });
+        if (record.value && isLost && (isOwn || isQuarantine)) {
+            lost.push_back(record);
+        }
+    }
+    if (lost.empty()) {
+        return;
+    }
+    const auto delay = std::chrono::duration_cast<Duration>(maxRewriteDelay * random_.unit());
+    context_.logger.state("lost records written again",
+                          { { "records", lost.size() }, { "delay_ms", toMilliseconds(delay) } });
+    context_.loop.timers().once(context_.now() + delay, [this, lost = std::move(lost)](Time) {
+        for (const auto &record : lost) {
+            store_.put(record.key, *record.value);
+        }
+    });
+}
+
 /** Marks the keys that are missing from a snapshot as removed. They are kept as removals, to be sent to other VMs. */
-void FleetState::markRemoved(TopicReplica &replica, const std::vector<StoreRecord> &remaining, std::uint64_t endOffset)
+void FleetState::markRemoved(TopicReplica &replica, const std::vector<StoreRecord> &remaining, LogPosition end)
 {
     for (auto &[key, latest] : replica.records) {
         const bool isPresent = std::any_of(
             remaining.begin(), remaining.end(), [&, name = key](const auto &record) { return record.key == name; });
-        if (!isPresent && latest.value && latest.offset.value() < endOffset) {
+        if (!isPresent && latest.value && latest.position < end) {
             latest.value.reset();
-            latest.offset = LogOffset(endOffset - 1);
+            latest.position = LogPosition(end.era(), end.offset() > 0 ? end.offset() - 1 : 0);
         }
     }
 }
 
-void FleetState::applyRecord(Topic topic, const StoreRecord &record)
+/** Keeps the record with the latest version, at the latest position, so that it is served to VMs that are behind. */
+void FleetState::applyDesiredState(TopicReplica &replica, const StoreRecord &record)
 {
-    switch (topic) {
-    case Topic::Operator:
-        applyDesiredState(record);
-        break;
-    case Topic::Endpoints:
-        applyEndpoint(record);
-        break;
-    case Topic::Vms:
-        applyVm(record);
-        break;
+    auto &latest = replica.records[record.key];
+    const LogPosition position = std::max(latest.position, record.position);
+    const bool isInForce = acceptDesiredState(record);
+    if (isInForce || latest.key.empty()) {
+        latest = record;
     }
+    latest.position = position;
 }
 
-void FleetState::applyDesiredState(const StoreRecord &record)
+/** Puts a desired state in force if it is newer than the one in force. */
+bool FleetState::acceptDesiredState(const StoreRecord &record)
 {
     if (record.key != userplatform::desiredStateKey || !record.value) {
-        return;
+        return false;
     }
     auto state = userplatform::parseDesiredState(*record.value);
     if (!state) {
         context_.logger.error("malformed desired state",
-                              { { "offset", record.offset }, { "error", state.error().detail } });
-        return;
+                              { { "offset", record.position.offset() }, { "error", state.error().detail } });
+        return false;
     }
     const auto version = state.value().version;
     if (routes_ && version <= routes_->state().version) {
-        return;
+        return false;
     }
     routes_ = std::make_shared<const routing::RouteTable>(std::move(state.value()));
     context_.logger.state("desired state in force",
                           { { "version", version },
                             { "routes", routes_->state().routes.size() },
                             { "services", routes_->state().services.size() } });
+    return true;
 }
 
 void FleetState::applyEndpoint(const StoreRecord &record)
@@ -209,13 +265,19 @@
     }
     switch (change) {
     case routing::DirectoryChange::Joined:
-        context_.logger.state("endpoint joined", { { "endpoint", id }, { "offset", record.offset } });
+        context_.logger.state("endpoint joined", { { "endpoint", id }, { "offset", record.position.offset() } });
         break;
     case routing::DirectoryChange::Draining:
-        context_.logger.state("endpoint leaving", { { "endpoint", id }, { "offset", record.offset } });
+        context_.logger.state("endpoint leaving", { { "endpoint", id }, { "offset", record.position.offset() } });
         break;
     case routing::DirectoryChange::Removed:
-        context_.logger.state("endpoint removed", { { "endpoint", id }, { "offset", record.offset } });
+        context_.logger.state("endpoint removed", { { "endpoint", id }, { "offset", record.position.offset() } });
+        break;
+    case routing::DirectoryChange::Held:
+        context_.logger.state("endpoint held",
+                              { { "endpoint", id },
+                                { "offset", record.position.offset() },
+                                { "reason", "known to have ended before the store came back from an older copy" } });
         break;
     case routing::DirectoryChange::None:
     case routing::DirectoryChange::Updated:
@@ -267,9 +329,18 @@
 
 void FleetState::expireEndpoints(Time now)
 {
-    if (endpoints_.expire(now) > 0) {
-        context_.logger.state("endpoints removed",
-                              { { "reason", "not registered again after an outage of the store" } });
+    const auto expiry = endpoints_.expire(now);
+    if (expiry.removed > 0) {
+        context_.logger.state(
+            "endpoints removed",
+            { { "endpoints", expiry.removed }, { "reason", "not registered again after an outage of the store" } });
+    }
+    if (expiry.released > 0) {
+        context_.logger.state("endpoints joined",
+                              { { "endpoints", expiry.released },
+                                { "reason", "still registered long after the store came back from an older copy" } });
+    }
+    if (expiry.removed + expiry.released > 0) {
         notifyChanged();
     }
 }
@@ -284,8 +355,8 @@
 {
     const bool isStoreAvailable = !replicas_[Topic::Operator].isStoreLost && !replicas_[Topic::Endpoints].isStoreLost;
     links_.setView(routes_ ? routes_->state().version.value() : 0,
-                   replicas_[Topic::Operator].endOffset,
-                   replicas_[Topic::Endpoints].endOffset,
+                   replicas_[Topic::Operator].end.packed(),
+                   replicas_[Topic::Endpoints].end.packed(),
                    readsStore_ && isStoreAvailable && isLoaded());
 }
 
@@ -319,19 +390,20 @@
     }
     for (const Topic topic : { Topic::Operator, Topic::Endpoints }) {
         replicas_[topic].isStoreLost = replicas_[topic].isStoreLost && shouldRead;
-        store_.setActive(topic, shouldRead, LogOffset(replicas_[topic].endOffset));
+        store_.setActive(topic, shouldRead, replicas_[topic].end);
     }
 }
 
-void FleetState::pushRecords(Topic topic, std::uint64_t startOffset, const std::vector<StoreRecord> &records)
+void FleetState::pushRecords(Topic topic, LogPosition start, const std::vector<StoreRecord> &records)
 {
     if (topic == Topic::Vms || !readsStore_ || !isStoreReader()) {
         return;
     }
-    RecordsPush push { topic, startOffset, {} };
+    RecordsPush push { topic, start.packed(), {} };
     for (const auto &record : records) {
-        push.records.records.push_back({ record.key, record.offset.value(), !record.value, record.value.value_or("") });
-        push.records.endOffset = std::max(push.records.endOffset, record.offset.value() + 1);
+        push.records.records.push_back(
+            { record.key, record.position.packed(), !record.value, record.value.value_or("") });
+        push.records.endOffset = std::max(push.records.endOffset, record.position.next().packed());
     }
     links_.broadcast(encodeMessage(MessageKind::RecordsPush, push));
 }
@@ -343,11 +415,11 @@
         return;
     }
     const TopicReplica &replica = replicas_[topic];
-    if (push.records.endOffset <= replica.endOffset) {
+    if (push.records.endOffset <= replica.end.packed()) {
         return;
     }
-    if (push.startOffset > replica.endOffset) {
-        requestRecords(topic, vm); // records between the two offsets are missing
+    if (push.startOffset > replica.end.packed()) {
+        requestRecords(topic, vm, replica.end); // records between the two positions are missing
         return;
     }
     applyPeerRecords(topic, push.records);
@@ -358,28 +430,32 @@
     std::vector<StoreRecord> records;
     for (const auto &record : response.records) {
         auto value = record.isRemoval ? std::nullopt : std::optional(record.value);
-        records.push_back({ record.key, LogOffset(record.offset), std::move(value) });
+        records.push_back({ record.key, LogPosition::fromPacked(record.offset), std::move(value) });
     }
-    std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
-    applyRecords(topic, records, response.endOffset, false);
+    std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.position < b.position; });
+    applyRecords(topic, records, LogPosition::fromPacked(response.endOffset), false);
 }
 
 void FleetState::handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat)
 {
     const std::uint64_t version = routes_ ? routes_->state().version.value() : 0;
     const TopicReplica &operatorReplica = replicas_[Topic::Operator];
-    if ((heartbeat.stateVersion > version || heartbeat.operatorEndOffset > operatorReplica.endOffset)
-        && (operatorReplica.isStoreLost || !routes_ || !readsStore_)) {
-        requestRecords(Topic::Operator, vm);
+    const std::uint64_t operatorEnd = operatorReplica.end.packed();
+    const bool isBehind = heartbeat.stateVersion > version || heartbeat.operatorEndOffset > operatorEnd;
+    if (heartbeat.stateVersion > version && heartbeat.operatorEndOffset <= operatorEnd) {
+        // The store has lost this version, so no record that it still gives can catch up with the other VM.
+        requestRecords(Topic::Operator, vm, LogPosition());
+    } else if (isBehind && (operatorReplica.isStoreLost || !routes_ || !readsStore_)) {
+        requestRecords(Topic::Operator, vm, operatorReplica.end);
     }
     const TopicReplica &endpointReplica = replicas_[Topic::Endpoints];
-    if (heartbeat.endpointsEndOffset > endpointReplica.endOffset
+    if (heartbeat.endpointsEndOffset > endpointReplica.end.packed()
         && (endpointReplica.isStoreLost || !endpointsLoaded_ || !readsStore_)) {
-        requestRecords(Topic::Endpoints, vm);
+        requestRecords(Topic::Endpoints, vm, endpointReplica.end);
     }
 }
 
-void FleetState::requestRecords(Topic topic, const VmId &vm)
+void FleetState::requestRecords(Topic topic, const VmId &vm, LogPosition start)
 {
     TopicReplica &replica = replicas_[topic];
     const Time now = context_.now();
@@ -387,7 +463,7 @@
         return;
     }
     replica.lastPeerRequestAt = now;
-    const RecordsRequest request { topic, replica.endOffset };
+    const RecordsRequest request { topic, start.packed() };
     peer::CallHandlers handlers;
     handlers.onData = [this, topic, vm](const std::string &message) {
         const auto response = wire::decode<RecordsResponse>(message);
@@ -411,10 +487,10 @@
     RecordsResponse response;
     const auto replica = replicas_.find(request.topic);
     if (replica != replicas_.end()) {
-        response.endOffset = replica->second.endOffset;
+        response.endOffset = replica->second.end.packed();
         for (const auto &[key, record] : replica->second.records) {
-            if (record.offset.value() >= request.startOffset) {
-                response.records.push_back({ key, record.offset.value(), !record.value, record.value.value_or("") });
+            if (record.position.packed() >= request.startOffset) {
+                response.records.push_back({ key, record.position.packed(), !record.value, record.value.value_or("") });
             }
         }
     }
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -18,12 +18,17 @@
  * A few VMs, the readers, read the store and push new records to all others. A VM reads the store itself if no live VM
  * reports that it reads the store successfully. While the store does not respond to it either, it requests records from
  * any VM whose replica is more up to date. A desired state is never replaced by an older version.
+ *
+ * The store may come back from an older copy. What this VM knows stays in force then: the desired state, and which
+ * endpoints have ended or are draining. This VM writes its own records again.
  */
 class FleetState
 {
 public:
+    /** @param seed for the delays of writes */
     FleetState(Context &context,
                FleetLinks &links,
+               std::uint64_t seed,
                std::function<void()> onChanged,
                std::function<void(const SuspectMessage &)> onQuarantineRead);
 
@@ -63,7 +68,7 @@
     /** Local copy of one topic. */
     struct TopicReplica {
         std::map<std::string, userplatform::StoreRecord> records; ///< latest record by key, including removals
-        std::uint64_t endOffset = 0;
+        userplatform::LogPosition end; ///< position up to which the topic is known
         bool isStoreLost = false;
         std::optional<Time> lastPeerRequestAt;
     };
@@ -71,18 +76,20 @@
     void watch(userplatform::Topic topic, const userplatform::WatchOptions &times);
     void applyRecords(userplatform::Topic topic,
                       const std::vector<userplatform::StoreRecord> &records,
-                      std::uint64_t endOffset,
+                      userplatform::LogPosition end,
                       bool isSnapshot);
+    void handleRollback(userplatform::Topic topic, std::uint64_t era);
+    void rewriteLostRecords(const std::vector<userplatform::StoreRecord> &remaining);
     static void markRemoved(TopicReplica &replica,
                             const std::vector<userplatform::StoreRecord> &remaining,
-                            std::uint64_t endOffset);
-    void applyRecord(userplatform::Topic topic, const userplatform::StoreRecord &record);
-    void applyDesiredState(const userplatform::StoreRecord &record);
+                            userplatform::LogPosition end);
+    void applyDesiredState(TopicReplica &replica, const userplatform::StoreRecord &record);
+    bool acceptDesiredState(const userplatform::StoreRecord &record);
     void applyEndpoint(const userplatform::StoreRecord &record);
     void applyVm(const userplatform::StoreRecord &record);
     void applyQuarantine(const std::string &value);
     void pushRecords(userplatform::Topic topic,
-                     std::uint64_t startOffset,
+                     userplatform::LogPosition start,
                      const std::vector<userplatform::StoreRecord> &records);
     void updateStoreReading();
     bool isStoreReader() const;
@@ -91,10 +98,11 @@
     void notifyChanged();
     void publishView();
     void applyPeerRecords(userplatform::Topic topic, const RecordsResponse &response);
-    void requestRecords(userplatform::Topic topic, const VmId &vm);
+    void requestRecords(userplatform::Topic topic, const VmId &vm, userplatform::LogPosition start);
 
     Context &context_;
     FleetLinks &links_;
+    Random random_;
     std::function<void()> onChanged_;
     std::function<void(const SuspectMessage &)> onQuarantineRead_;
     userplatform::StoreClient store_;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -55,6 +55,7 @@
     , state_(
           context,
           links_,
+          random_.next(),
           [this] { handleStateChange(); },
           [this](const SuspectMessage &suspect) { poisonRequests_.handleStoredQuarantine(suspect); })
     , poisonRequests_(context, links_, state_)
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -8,7 +8,10 @@
 #include <string>
 #include <vector>
 
-/** Messages exchanged between VMs. Times are relative, in ms, because the clocks of VMs differ. */
+/**
+ * Messages exchanged between VMs. Times are relative, in ms, because the clocks of VMs differ. Offsets hold positions
+ * as userplatform::LogPosition::packed() returns them.
+ */
 namespace lacewing::gateway
 {
 
