--- a/tools/gateway/tests/endless_answer_test.cpp
+++ b/tools/gateway/tests/endless_answer_test.cpp
@@ -65,7 +65,7 @@
 
 std::string headText(Head head, const std::string &endpoint, const std::string &request)
 {
-    const std::string start = "HTTP/1.1 200 OK\r\n";
+    std::string start = "HTTP/1.1 200 OK\r\n";
     switch (head) {
     case Head::None:
         return {};
