Gateway: endpoints that say that they leave, or want no requests for a time

EndpointNotices takes the head of each answer (requests, streams that run on, calls for pieces, releases). A lifetime that leaves is draining for good in the directory, whatever the registry lists, and the VMs of the zone are told. QuietPeriods keeps requests, calls, releases and connection checks from an endpoint for the time it says, on this VM; such a 503 counts neither as a crash nor against the endpoint. When all endpoints of a service or stage want none, callers are refused at once, with the time of the first that returns, spread out; pieces that no endpoint takes in time are given up at once.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -20,6 +20,31 @@
 namespace lacewing::dispatch
 {
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Quiet periods
+
+/** Endpoints that want no requests from this VM for a time, as they said when they turned one away. */
+class QuietPeriods
+{
+public:
+    /** Records that a lifetime wants no requests until a time. A period in force is never shortened. */
+    void record(const routing::EndpointLifetime &endpoint, Time until);
+    /** Returns until when the endpoint wants no requests; empty if it wants them now. */
+    std::optional<Time> until(const routing::EndpointLifetime &endpoint, Time now) const;
+    /** Returns when the first of some endpoints wants requests again; empty if one wants them now, or there are none.
+     */
+    std::optional<Time> earliestEnd(std::span<const routing::EndpointEntry *const> endpoints, Time now) const;
+    /** Forgets periods that have ended. */
+    void expire(Time now);
+    std::size_t size() const noexcept
+    {
+        return periods_.size();
+    }
+
+private:
+    std::map<routing::EndpointLifetime, Time> periods_; ///< end of each
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Retries
 
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -211,6 +211,12 @@
     DirectoryChange remove(const EndpointId &id, Time now);
     /** Calls remove() for each endpoint that is not in `present`. @return the number of such endpoints */
     std::size_t retain(const std::vector<EndpointId> &present, Time now);
+    /**
+     * Makes a lifetime draining that has said so itself, until its end and whatever the registry says.
+     *
+     * @return whether it was not known to be draining
+     */
+    bool markDraining(const EndpointLifetime &lifetime, Time now);
     /** Makes an endpoint unavailable until its next incarnation: its address now belongs to another endpoint. */
     void exclude(const EndpointId &id);
 
@@ -260,9 +266,11 @@
     struct EndedLifetime {
         Incarnation incarnation;
         Time endedAt;
+        bool wasDraining = false; ///< stays so even if it registers again
     };
 
     bool isAffectedByOutage(Time now) const noexcept;
+    void recordEnd(const EndpointLifetime &lifetime, bool wasDraining, Time now);
     void recordEnd(const EndpointEntry &entry, Time now);
     std::optional<Time> holdTime(const EndpointEntry &entry, Time now) const;
     DirectoryChange add(const EndpointEntry &entry, Time now);
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -7,8 +7,8 @@
 namespace
 {
 
-/** A copy of the registry is some seconds old, so it can't list lifetimes that have ended long before. */
-constexpr Duration endedLifetimeRetention = std::chrono::seconds(60);
+/** A copy of the registry is some seconds old, and an endpoint that is draining ends within minutes. */
+constexpr Duration endedLifetimeRetention = std::chrono::minutes(10);
 /** The registry removes an endpoint that is silent for three heartbeats, of up to 2 s each; and a margin. */
 constexpr Duration rollbackHoldTime = std::chrono::seconds(10);
 
@@ -70,20 +70,52 @@
 DirectoryChange EndpointDirectory::add(const EndpointEntry &entry, Time now)
 {
     const auto heldUntil = holdTime(entry, now);
-    records_.emplace(entry.id, Record { entry, std::nullopt, false, heldUntil });
+    Record &record = records_.emplace(entry.id, Record { entry, std::nullopt, false, heldUntil }).first->second;
+    const auto ended = endedLifetimes_.find(entry.id);
+    if (ended != endedLifetimes_.end() && ended->second.incarnation == entry.incarnation && ended->second.wasDraining) {
+        record.entry.readiness = Readiness::Draining;
+    }
     ++revision_;
     if (heldUntil) {
         return DirectoryChange::Held;
     }
-    return entry.readiness == Readiness::Ready ? DirectoryChange::Joined : DirectoryChange::Draining;
+    return record.entry.readiness == Readiness::Ready ? DirectoryChange::Joined : DirectoryChange::Draining;
 }
 
 void EndpointDirectory::recordEnd(const EndpointEntry &entry, Time now)
+{
+    recordEnd(entry.lifetime(), entry.readiness == Readiness::Draining, now);
+}
+
+void EndpointDirectory::recordEnd(const EndpointLifetime &lifetime, bool wasDraining, Time now)
 {
     std::erase_if(endedLifetimes_,
                   [&](const auto &item) { return now - item.second.endedAt > endedLifetimeRetention; });
-    EndedLifetime &ended = endedLifetimes_[entry.id];
-    ended = { std::max(ended.incarnation, entry.incarnation), now };
+    EndedLifetime &ended = endedLifetimes_[lifetime.endpoint];
+    if (lifetime.incarnation < ended.incarnation) {
+        return;
+    }
+    const bool isSame = lifetime.incarnation == ended.incarnation;
+    ended = { lifetime.incarnation, now, wasDraining || (isSame && ended.wasDraining) };
+}
+
+bool EndpointDirectory::markDraining(const EndpointLifetime &lifetime, Time now)
+{
+    const auto found = records_.find(lifetime.endpoint);
+    if (found == records_.end()) {
+        const auto ended = endedLifetimes_.find(lifetime.endpoint);
+        const bool isKnown = ended != endedLifetimes_.end() && ended->second.incarnation >= lifetime.incarnation
+            && ended->second.wasDraining;
+        recordEnd(lifetime, true, now);
+        return !isKnown;
+    }
+    EndpointEntry &entry = found->second.entry;
+    if (entry.incarnation != lifetime.incarnation || entry.readiness == Readiness::Draining) {
+        return false;
+    }
+    entry.readiness = Readiness::Draining;
+    ++revision_;
+    return true;
 }
 
 /** Returns until when an entry has to be held back; empty if it is believed. */
--- a/libs/routing/tests/endpoint_directory_test.cpp
+++ b/libs/routing/tests/endpoint_directory_test.cpp
@@ -223,3 +223,36 @@
     cr_assert_eq(f.directory.update(entry("e", 2), start + 1s), DirectoryChange::Joined);
     cr_assert(f.isAvailable("e"));
 }
+
+Test(endpointDirectory, lifetimeThatSaidItLeavesStaysUnused)
+{
+    const EndpointLifetime lifetime { EndpointId("e"), Incarnation(2) };
+    Fixture f;
+    f.directory.update(entry("e", 2), start);
+    cr_assert(f.directory.markDraining(lifetime, start));
+    cr_assert_not(f.directory.markDraining(lifetime, start));
+    cr_assert_not(f.isAvailable("e"));
+    f.directory.update(entry("e", 2), start + 1s);
+    cr_assert_not(f.isAvailable("e"), "the registry made it available");
+    f.directory.remove(EndpointId("e"), start + 2s);
+    f.directory.update(entry("e", 2), start + 3s);
+    cr_assert_not(f.isAvailable("e"), "a new registration made it available");
+    f.directory.onRegistryRolledBack(start + 4s);
+    f.directory.update(entry("e", 2), start + 4s);
+    f.directory.expire(start + 60s);
+    cr_assert_not(f.isAvailable("e"), "an older copy made it available");
+    f.directory.update(entry("e", 3), start + 61s);
+    cr_assert(f.isAvailable("e"), "a later lifetime is free of it");
+    cr_assert_not(f.directory.markDraining(lifetime, start + 62s));
+    cr_assert(f.isAvailable("e"));
+}
+
+Test(endpointDirectory, leavingIsKeptForALifetimeThatIsNotRegistered)
+{
+    const EndpointLifetime lifetime { EndpointId("e"), Incarnation(2) };
+    Fixture f;
+    cr_assert(f.directory.markDraining(lifetime, start));
+    cr_assert_not(f.directory.markDraining(lifetime, start));
+    f.directory.update(entry("e", 2), start);
+    cr_assert_not(f.isAvailable("e"));
+}
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -179,6 +179,8 @@
     std::vector<EndpointId> takeDrainTimedOutEndpoints(Time now);
     /** Excludes an endpoint from new calls until the given time, for example after a lost call. */
     void backOff(const EndpointId &endpoint, Time until);
+    /** Returns the time until an endpoint takes new calls, 0 if one does; Duration::max() if there is no endpoint. */
+    Duration timeUntilUsable(Time now) const;
 
     void add(PieceTask task);
     /** Removes a queued piece. @return false if the piece is not in the queue */
@@ -208,7 +210,7 @@
      */
     std::vector<Time> estimateStartTimes(std::span<const std::size_t> counts, Time now) const;
     /** Estimates the duration of a call at an average endpoint when this number of pieces is queued. */
-    Duration estimateCallTime(std::size_t waiting) const;
+    Duration estimateCallTime(std::size_t waiting, Time now) const;
     /** Estimates the mean time that a piece arriving at a random time waits for a free endpoint at current load. */
     Duration estimateMeanWait(Time now) const;
     /** Calls a function with each queued piece. */
@@ -217,7 +219,7 @@
      * Returns when takeCalls(), takeExpired() or takeDrainTimedOutEndpoints() may next have results without any other
      * event; empty if they can not.
      */
-    std::optional<Time> nextWakeupTime() const;
+    std::optional<Time> nextWakeupTime(Time now) const;
     std::size_t waitingCount() const noexcept
     {
         return waitingTasks_.size();
@@ -254,7 +256,7 @@
     };
 
     Duration nominalTime(std::size_t pieces) const noexcept;
-    double lowestSlowdown() const noexcept;
+    double lowestSlowdown(Time now) const noexcept;
     bool isSlow(const EndpointState &state, double lowestSlowdown) const noexcept;
     bool canStartCall(const EndpointState &state, Time now) const noexcept;
     bool shouldWaitForZone(const PieceTask &task, const EndpointState &state, Time now) const;
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -92,6 +92,17 @@
     }
 }
 
+Duration BatchScheduler::timeUntilUsable(Time now) const
+{
+    Duration shortest = Duration::max();
+    for (const auto &[id, state] : endpointStates_) {
+        if (state.isListed) {
+            shortest = std::min(shortest, std::max(state.backoffUntil - now, Duration::zero()));
+        }
+    }
+    return shortest;
+}
+
 void BatchScheduler::add(PieceTask task)
 {
     waitingTasks_.push_back(std::move(task));
@@ -105,8 +116,11 @@
 std::vector<PieceTask> BatchScheduler::takeExpired(Time now)
 {
     std::vector<PieceTask> expired;
+    // Without any endpoint, one may still join in time.
+    const Duration wait = timeUntilUsable(now);
+    const Time earliestStart = wait == Duration::max() ? now : now + wait;
     const auto first = std::stable_partition(waitingTasks_.begin(), waitingTasks_.end(), [&](const PieceTask &task) {
-        return now + nominalTime(1) <= task.deadline;
+        return earliestStart + nominalTime(1) <= task.deadline;
     });
     std::move(first, waitingTasks_.end(), std::back_inserter(expired));
     waitingTasks_.erase(first, waitingTasks_.end());
@@ -128,7 +142,7 @@
         if (state == nullptr) {
             break;
         }
-        const bool isProbe = isSlow(*state, lowestSlowdown());
+        const bool isProbe = isSlow(*state, lowestSlowdown(now));
         BatchCall call = fillCall(*state, now, isProbe ? slowProbePieces : traits_.maxPiecesPerCall);
         if (call.pieces.empty()) {
             // No memory for any result, or all pieces wait for another zone.
@@ -216,7 +230,7 @@
     // Each endpoint starts a full call as soon as it is free.
     using NextCall = std::pair<Time, Duration>; // start time, duration of a full call
     std::priority_queue<NextCall, std::vector<NextCall>, std::greater<>> nextCalls;
-    const double lowest = lowestSlowdown();
+    const double lowest = lowestSlowdown(now);
     for (const auto &[id, state] : endpointStates_) {
         if (!state.isListed || isSlow(state, lowest)) {
             continue;
@@ -246,11 +260,11 @@
     return times;
 }
 
-Duration BatchScheduler::estimateCallTime(std::size_t waiting) const
+Duration BatchScheduler::estimateCallTime(std::size_t waiting, Time now) const
 {
     double slowdown = 0;
     std::size_t usable = 0;
-    const double lowest = lowestSlowdown();
+    const double lowest = lowestSlowdown(now);
     for (const auto &[id, state] : endpointStates_) {
         if (state.isListed && !isSlow(state, lowest)) {
             slowdown += state.slowdown;
@@ -266,7 +280,7 @@
 {
     std::size_t usable = 0;
     std::size_t busy = 0;
-    const double lowest = lowestSlowdown();
+    const double lowest = lowestSlowdown(now);
     for (const auto &[id, state] : endpointStates_) {
         if (state.isListed && !isSlow(state, lowest)) {
             ++usable;
@@ -276,7 +290,7 @@
     // Assumes that calls end at independent, uniformly distributed times.
     const double busyShare = usable > 0 ? double(busy) / double(usable) : 0;
     return Duration(
-        std::int64_t(busyShare * double(estimateCallTime(traits_.maxPiecesPerCall).count()) / double(usable + 1)));
+        std::int64_t(busyShare * double(estimateCallTime(traits_.maxPiecesPerCall, now).count()) / double(usable + 1)));
 }
 
 void BatchScheduler::forEachWaiting(const std::function<void(const PieceTask &)> &visit) const
@@ -286,7 +300,7 @@
     }
 }
 
-std::optional<Time> BatchScheduler::nextWakeupTime() const
+std::optional<Time> BatchScheduler::nextWakeupTime(Time now) const
 {
     std::optional<Time> next;
     const auto consider = [&](Time time) { next = next ? std::min(*next, time) : time; };
@@ -304,7 +318,7 @@
     for (const auto &[id, state] : endpointStates_) {
         if (state.isListed && state.callsInFlight < traits_.maxConcurrentCalls) {
             consider(std::max(state.backoffUntil, state.lastCallAt + recheckInterval));
-            if (isSlow(state, lowestSlowdown())) {
+            if (isSlow(state, lowestSlowdown(now))) {
                 consider(state.lastCallAt + slowProbeInterval);
             }
         }
@@ -322,15 +336,23 @@
     return traits_.callOverhead + traits_.timePerPiece * std::int64_t(pieces);
 }
 
-double BatchScheduler::lowestSlowdown() const noexcept
+/** Returns the slowdown of the fastest endpoint, out of those that take calls if there are any. */
+double BatchScheduler::lowestSlowdown(Time now) const noexcept
 {
     double lowest = 0;
+    double lowestOfAll = 0;
     for (const auto &[id, state] : endpointStates_) {
-        if (state.isListed && (lowest == 0 || state.slowdown < lowest)) {
+        if (!state.isListed) {
+            continue;
+        }
+        if (lowestOfAll == 0 || state.slowdown < lowestOfAll) {
+            lowestOfAll = state.slowdown;
+        }
+        if (state.backoffUntil <= now && (lowest == 0 || state.slowdown < lowest)) {
             lowest = state.slowdown;
         }
     }
-    return lowest;
+    return lowest > 0 ? lowest : lowestOfAll;
 }
 
 bool BatchScheduler::isSlow(const EndpointState &state, double lowestSlowdown) const noexcept
@@ -362,7 +384,7 @@
                                                               const std::vector<EndpointId> &excluded)
 {
     const std::size_t waiting = waitingTasks_.size();
-    const double lowest = lowestSlowdown();
+    const double lowest = lowestSlowdown(now);
     std::size_t fastEndpoints = 0;
     for (const auto &[id, state] : endpointStates_) {
         fastEndpoints += state.isListed && !isSlow(state, lowest) ? 1 : 0;
@@ -458,7 +480,7 @@
     std::size_t localEndpoints = 0;
     Time earliest = Time::max();
     for (const auto &[id, local] : endpointStates_) {
-        if (local.endpoint.zone != task.preferredZone || !local.isListed || isSlow(local, lowestSlowdown())) {
+        if (local.endpoint.zone != task.preferredZone || !local.isListed || isSlow(local, lowestSlowdown(now))) {
             continue;
         }
         ++localEndpoints;
--- a/libs/stages/src/path_planner.cpp
+++ b/libs/stages/src/path_planner.cpp
@@ -165,10 +165,10 @@
     const auto startsWith = state.scheduler->estimateStartTimes(countsWith, now);
     const auto startsWithout = state.scheduler->estimateStartTimes(countsWithout, now);
     forecast.lastStart = startsWith.front();
-    forecast.callTime = state.scheduler->estimateCallTime(countsWith.front());
+    forecast.callTime = state.scheduler->estimateCallTime(countsWith.front(), now);
     std::size_t index = 1;
     for (const auto &[dueTime, pieces] : later) {
-        const Time latestStart = dueTime - state.scheduler->estimateCallTime(countsWith[index]);
+        const Time latestStart = dueTime - state.scheduler->estimateCallTime(countsWith[index], now);
         forecast.keepsCommitments =
             forecast.keepsCommitments && (startsWith[index] <= latestStart || startsWithout[index] > latestStart);
         ++index;
@@ -281,7 +281,7 @@
         const std::size_t counts[] = { piecesAhead + 1 };
         const Time lastStart = state.scheduler->estimateStartTimes(counts, now).front();
         if (lastStart != Time::max()) {
-            loads.push_back({ service, lastStart - now, state.scheduler->estimateCallTime(piecesAhead + 1) });
+            loads.push_back({ service, lastStart - now, state.scheduler->estimateCallTime(piecesAhead + 1, now) });
         }
     }
     return loads;
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -299,7 +299,7 @@
         f.scheduler.setEndpoints({});
     }
     cr_assert(f.scheduler.takeDrainTimedOutEndpoints(f.now).empty());
-    cr_assert_eq(f.scheduler.nextWakeupTime().has_value(), test->isRemoved);
+    cr_assert_eq(f.scheduler.nextWakeupTime(f.now).has_value(), test->isRemoved);
     f.now += std::chrono::milliseconds(test->elapsedMs);
     const auto timedOut = f.scheduler.takeDrainTimedOutEndpoints(f.now);
     cr_assert_eq(timedOut.size(), test->timesOut ? 1U : 0U);
@@ -308,7 +308,7 @@
         cr_assert_eq(timedOut[0], EndpointId("e0"));
         f.scheduler.recordCallEnd(timedOut[0], CallOutcome::Lost, 0, f.now);
         cr_assert_eq(f.scheduler.endpointCount(), 0U);
-        cr_assert_not(f.scheduler.nextWakeupTime().has_value());
+        cr_assert_not(f.scheduler.nextWakeupTime(f.now).has_value());
     }
 }
 
@@ -410,3 +410,33 @@
     cr_assert_lt(slowPhase[EndpointId("e0")] * 5, slowPhase[EndpointId("e1")]);
     cr_assert_gt(lastPhase[EndpointId("e0")] * 3, lastPhase[EndpointId("e1")]);
 }
+
+Test(batchScheduler, slowEndpointTakesCallsWhileTheFastOneIsBackedOff)
+{
+    Fixture f(2);
+    for (int call = 0; call < 20; ++call) {
+        f.scheduler.backOff(EndpointId("e1"), f.now + 10s);
+        f.add();
+        const auto calls = f.scheduler.takeCalls(f.now);
+        cr_assert_eq(calls.size(), 1U, "call %d", call);
+        cr_assert_eq(calls[0].endpoint, EndpointId("e0"));
+        f.now += 2s; // ten times what a call takes
+        f.scheduler.recordCallEnd(calls[0].endpoint, CallOutcome::Answered, 1, f.now);
+        const std::size_t counts[] = { 1 };
+        cr_assert(f.scheduler.estimateStartTimes(counts, f.now).front() == f.now, "call %d", call);
+    }
+}
+
+Test(batchScheduler, piecesThatNoEndpointTakesInTimeExpireAtOnce)
+{
+    Fixture f(2);
+    f.add(1s, 5s);
+    f.scheduler.backOff(EndpointId("e0"), f.now + 60s);
+    f.scheduler.backOff(EndpointId("e1"), f.now + 4s);
+    cr_assert(f.scheduler.timeUntilUsable(f.now) == 4s);
+    cr_assert(f.scheduler.takeExpired(f.now).empty());
+    f.scheduler.backOff(EndpointId("e1"), f.now + 60s);
+    cr_assert_eq(f.scheduler.takeExpired(f.now).size(), 1U);
+    f.scheduler.setEndpoints({});
+    cr_assert(f.scheduler.timeUntilUsable(f.now) == Duration::max());
+}
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -45,10 +45,12 @@
 BatchDispatcherContext::BatchDispatcherContext(Context &processContext,
                                                FleetLinks &fleetLinks,
                                                FleetState &fleetState,
+                                               EndpointNotices &endpointNotices,
                                                PoisonRequestGuard &poisonRequestGuard)
     : context(processContext)
     , links(fleetLinks)
     , state(fleetState)
+    , notices(endpointNotices)
     , poisonRequests(poisonRequestGuard)
     , client(context.loop,
              net::HttpClientOptions()
@@ -109,11 +111,16 @@
 {
     scheduler_.releaseResult(result.handle);
     if (pendingReleases_.empty()) {
-        shared_.context.loop.timers().once(now() + releaseDelay, [this](Time) { sendReleases(); });
+        sendReleasesAt(now() + releaseDelay);
     }
     pendingReleases_[result.endpoint].push_back(result.handle);
 }
 
+void BatchDispatcher::sendReleasesAt(Time due)
+{
+    shared_.context.loop.timers().once(due, [this](Time) { sendReleases(); });
+}
+
 void BatchDispatcher::scheduleRun(Duration wait)
 {
     auto &timers = shared_.context.loop.timers();
@@ -140,7 +147,7 @@
     for (auto &call : scheduler_.takeCalls(now())) {
         send(std::move(call));
     }
-    if (const auto due = scheduler_.nextWakeupTime()) {
+    if (const auto due = scheduler_.nextWakeupTime(now())) {
         scheduleRun(std::max(*due - now(), minRecheckInterval));
     }
 }
@@ -154,6 +161,13 @@
         requeue(call);
         return;
     }
+    if (const auto quietUntil = shared_.notices.quietUntil(entry->lifetime())) {
+        // Another cell's call to it was turned away.
+        scheduler_.recordCallEnd(call.endpoint, stages::CallOutcome::Rejected, 0, now());
+        scheduler_.backOff(call.endpoint, *quietUntil);
+        requeue(call);
+        return;
+    }
     shared_.callCounter.add();
     shared_.pieceCounter.add(double(call.pieces.size()));
     shared_.fullnessHistogram.observe(double(call.pieces.size()) / double(traits_.maxPiecesPerCall));
@@ -215,6 +229,9 @@
                                     const net::HttpResponse &response)
 {
     const auto &call = inFlight.call;
+    if (end.headReceived) {
+        shared_.notices.handleResponse(inFlight.entry, userplatform::parseResponseMetadata(response.head));
+    }
     const bool isResponseValid = !end.error && response.head.status == net::status::ok;
     const auto pieceResponses = userplatform::parsePiecesResponse(response.body, call.pieces.size());
     if (isResponseValid && pieceResponses) {
@@ -272,6 +289,9 @@
     const bool isRejected = !end.error && metadata.notRun;
     scheduler_.recordCallEnd(
         call.endpoint, isRejected ? stages::CallOutcome::Rejected : stages::CallOutcome::Lost, 0, now());
+    if (const auto quietUntil = shared_.notices.quietUntil(inFlight.entry.lifetime())) {
+        scheduler_.backOff(call.endpoint, *quietUntil);
+    }
     if (isUnreachable) {
         scheduler_.backOff(call.endpoint, now() + unreachableBackoff);
         if (end.error->kind == ErrorKind::Unreachable) {
@@ -331,13 +351,26 @@
 
 void BatchDispatcher::sendReleases()
 {
-    for (const auto &[endpoint, handles] : std::exchange(pendingReleases_, {})) {
+    std::optional<Time> firstReturn;
+    for (auto &[endpoint, handles] : std::exchange(pendingReleases_, {})) {
         const auto *entry = shared_.state.endpoints().find(endpoint);
         if (entry == nullptr) {
             continue; // the endpoint is gone, and its results with it
         }
+        if (const auto quietUntil = shared_.notices.quietUntil(entry->lifetime())) {
+            firstReturn = std::min(firstReturn.value_or(*quietUntil), *quietUntil);
+            pendingReleases_[endpoint] = std::move(handles);
+            continue;
+        }
         const net::HttpLimits limits { connectTimeout, releaseTimeout / 2, releaseTimeout / 2, releaseTimeout };
-        shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, {});
+        net::HttpHandlers handlers;
+        handlers.onHead = [this, endpoint = *entry](const net::HttpHead &head) {
+            shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head));
+        };
+        shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
+    }
+    if (firstReturn) {
+        sendReleasesAt(std::max(*firstReturn, now() + releaseDelay));
     }
     scheduleRun(Duration::zero());
 }
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -34,11 +34,13 @@
     BatchDispatcherContext(Context &processContext,
                            FleetLinks &fleetLinks,
                            FleetState &fleetState,
+                           EndpointNotices &endpointNotices,
                            PoisonRequestGuard &poisonRequestGuard);
 
     Context &context;
     FleetLinks &links;
     FleetState &state;
+    EndpointNotices &notices;
     PoisonRequestGuard &poisonRequests;
     net::HttpClient client; ///< connects to endpoints of stages
     telemetry::Counter callCounter;
@@ -91,6 +93,7 @@
     void requeue(const stages::BatchCall &call);
     bool notify(stages::PieceTicket ticket, const PieceOutcome &outcome);
     void sendReleases();
+    void sendReleasesAt(Time due);
 
     Time now() const noexcept
     {
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -281,6 +281,9 @@
     case MessageKind::Suspect:
         deliver(handlers_.onSuspect);
         break;
+    case MessageKind::EndpointLeaving:
+        deliver(handlers_.onEndpointLeaving);
+        break;
     case MessageKind::RecordsPush:
         deliver(std::function<void(const RecordsPush &)>(
             [&](const RecordsPush &push) { handlers_.onRecordsPushed(from.vm, push); }));
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -327,6 +327,17 @@
     store_.remove(quarantineKey(request.value()), [] {});
 }
 
+bool FleetState::markLeaving(const routing::EndpointLifetime &lifetime, std::string_view source)
+{
+    if (!endpoints_.markDraining(lifetime, context_.now())) {
+        return false;
+    }
+    context_.logger.state("endpoint leaving", { { "endpoint", lifetime.endpoint }, { "source", source } });
+    // The caller may be in the middle of a call of what has to be notified.
+    context_.loop.post([this] { notifyChanged(); });
+    return true;
+}
+
 void FleetState::expireEndpoints(Time now)
 {
     const auto expiry = endpoints_.expire(now);
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -57,6 +57,14 @@
         return routes_ != nullptr && endpointsLoaded_;
     }
 
+    /**
+     * Makes a lifetime of an endpoint unavailable that has said that it leaves.
+     *
+     * @param source who told this VM, for the log
+     * @return whether this was not known
+     */
+    bool markLeaving(const routing::EndpointLifetime &lifetime, std::string_view source);
+
     /** Requests records from another VM if its heartbeat shows that its replica is more up to date. */
     void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
     /** Responds to a request of another VM for records. */
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -58,13 +58,14 @@
           random_.next(),
           [this] { handleStateChange(); },
           [this](const SuspectMessage &suspect) { poisonRequests_.handleStoredQuarantine(suspect); })
-    , poisonRequests_(context, links_, state_)
-    , pieces_(context, links_, state_, poisonRequests_, random_.next())
+    , notices_(context, links_, state_)
+    , poisonRequests_(context, links_, state_, notices_)
+    , pieces_(context, links_, state_, notices_, poisonRequests_, random_.next())
     , client_(context.loop, endpointOptions(context))
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context,       links_,       state_,          pieces_,      client_,
+    , shared_ { context,       links_,       state_,          notices_,     pieces_, client_,
                 loadBalancer_, prefixCache_, poisonRequests_, decisionLog_, random_ }
     , callerServer_(context.loop,
                     callerOptions(context),
@@ -104,6 +105,7 @@
         loadBalancer_.prune(state_.endpoints());
         prefixCache_.expire(now);
         poisonRequests_.expire(now);
+        notices_.expire(now);
         shared_.rejectionHistory.expire(now);
     });
     context_.loop.run();
@@ -184,6 +186,7 @@
     FleetHandlers handlers;
     handlers.onRelease = [this](const ReleaseMessage &message) { pieces_.serve(message); };
     handlers.onSuspect = [this](const SuspectMessage &message) { poisonRequests_.handleSuspect(message); };
+    handlers.onEndpointLeaving = [this](const EndpointLifetimeMessage &message) { notices_.handleLeaving(message); };
     handlers.onSuspectsRequested = [this](peer::PeerCallWriter writer) {
         poisonRequests_.serveSuspects(std::move(writer));
     };
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "decision_log.h"
+#include "endpoint_notices.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
 #include "piece_service.h"
@@ -36,6 +37,7 @@
     boost::asio::signal_set signals_;
     FleetLinks links_;
     FleetState state_;
+    EndpointNotices notices_;
     PoisonRequestGuard poisonRequests_;
     PieceService pieces_;
     net::HttpClient client_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -156,7 +156,7 @@
     LACEWING_MEMBERS(service, cell, endpoints, handles)
 };
 
-/** An endpoint that crashed. */
+/** One run of an endpoint: one that crashed, or that leaves. */
 struct EndpointLifetimeMessage {
     std::string endpoint;
     std::uint64_t incarnation = 0;
@@ -221,7 +221,8 @@
     Pieces = 4,
     Records = 5,
     RecordsPush = 6,
-    Suspects = 7
+    Suspects = 7,
+    EndpointLeaving = 8
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t minEndpointsPerZone = 3;
 /** A VM whose CPU share is less than this fraction of the largest CPU share does not coordinate cells. */
 constexpr double minRelativeCpuShare = 0.5;
+/** A request is rejected if a stage has no endpoint for longer than this. Longer than the pauses after single failures.
+ */
+constexpr Duration maxEndpointWait = 450ms;
+/** Time after which a caller returns if no endpoint has said when it takes calls. */
+constexpr Duration defaultEndpointWait = 500ms;
 /** Time limit for connecting to the coordinator of a cell. */
 constexpr Duration linkTimeout = 300ms;
 /** Added to the deadlines of the pieces for the time limit of a call to the coordinator. */
@@ -41,13 +46,17 @@
     std::size_t remaining = 0;
 };
 
-PieceService::PieceService(
-    Context &context, FleetLinks &links, FleetState &state, PoisonRequestGuard &poisonRequests, std::uint64_t seed)
+PieceService::PieceService(Context &context,
+                           FleetLinks &links,
+                           FleetState &state,
+                           EndpointNotices &notices,
+                           PoisonRequestGuard &poisonRequests,
+                           std::uint64_t seed)
     : context_(context)
     , links_(links)
     , state_(state)
     , random_(seed)
-    , shared_(context, links, state, poisonRequests)
+    , shared_(context, links, state, notices, poisonRequests)
 {
 }
 
@@ -323,7 +332,15 @@
 stages::AdmissionDecision PieceService::tryAdmit(const stages::CellId &cell, const stages::AdmissionRequest &request)
 {
     for (const auto &demand : request.demands) {
-        dispatcherFor(demand.service, cell);
+        const auto &scheduler = dispatcherFor(demand.service, cell).scheduler();
+        const Duration wait = demand.pieceCount > 0 ? scheduler.timeUntilUsable(context_.now()) : Duration::zero();
+        if (wait > maxEndpointWait) {
+            stages::AdmissionDecision decision;
+            decision.admitted = false;
+            decision.predictedTime = wait == Duration::max() ? defaultEndpointWait : wait;
+            decision.retryAfter = 2 * decision.predictedTime; // the jitter may halve it
+            return decision;
+        }
     }
     return cells_[cell].planner.tryAdmit(request, context_.now());
 }
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -44,8 +44,12 @@
 class PieceService
 {
 public:
-    PieceService(
-        Context &context, FleetLinks &links, FleetState &state, PoisonRequestGuard &poisonRequests, std::uint64_t seed);
+    PieceService(Context &context,
+                 FleetLinks &links,
+                 FleetState &state,
+                 EndpointNotices &notices,
+                 PoisonRequestGuard &poisonRequests,
+                 std::uint64_t seed);
     ~PieceService();
     PieceService(const PieceService &) = delete;
     PieceService &operator=(const PieceService &) = delete;
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -23,10 +23,14 @@
 
 } // namespace
 
-PoisonRequestGuard::PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state)
+PoisonRequestGuard::PoisonRequestGuard(Context &context,
+                                       FleetLinks &links,
+                                       FleetState &state,
+                                       const EndpointNotices &notices)
     : context_(context)
     , links_(links)
     , state_(state)
+    , notices_(notices)
     , crashCounter_(
           context.metrics.counter({ "endpoint_crashes", "Crashes of endpoints that ran requests of this VM" }))
     , suspectCounter_(context.metrics.counter({ "suspect_requests", "Requests in flight at a crash, once for each" }))
@@ -88,6 +92,13 @@
 
 void PoisonRequestGuard::attemptConnection(const routing::EndpointEntry &endpoint, net::HttpClient &client)
 {
+    if (notices_.quietUntil(endpoint.lifetime())) {
+        // It answered a moment ago, so it has hardly crashed; its registration tells if it has.
+        for (const auto &onChecked : checkedEndpoints_.extract(endpoint.lifetime()).mapped()) {
+            onChecked();
+        }
+        return;
+    }
     net::HttpCall call;
     call.address = endpoint.address;
     call.connectOnly = true;
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "endpoint_notices.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
 
@@ -33,7 +34,7 @@
 class PoisonRequestGuard
 {
 public:
-    PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state);
+    PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state, const EndpointNotices &notices);
 
     /** Returns whether the request must not be sent to endpoints any more. */
     bool isQuarantined(Fingerprint request) const;
@@ -94,6 +95,7 @@
     Context &context_;
     FleetLinks &links_;
     FleetState &state_;
+    const EndpointNotices &notices_;
     dispatch::CrashDetector crashDetector_;
     dispatch::PoisonRequestTracker suspects_;
     dispatch::CrashDetector pieceCrashDetector_;
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -3,6 +3,7 @@
 #include "byte_budget.h"
 #include "context.h"
 #include "decision_log.h"
+#include "endpoint_notices.h"
 #include "fleet_state.h"
 #include "piece_service.h"
 #include "poison_request_guard.h"
@@ -39,6 +40,7 @@
     Context &context;
     FleetLinks &links;
     FleetState &state;
+    EndpointNotices &notices;
     PieceService &pieces;
     net::HttpClient &client;
     dispatch::LoadBalancer &loadBalancer;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -238,7 +238,7 @@
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
     const auto *entry = placement_->choose(triedEndpoints_, service != nullptr ? service->maxConnections : 0, results);
     if (entry == nullptr) {
-        rejectOrFail("no endpoint available", defaultRetryAfter);
+        rejectOrFail("no endpoint available", retryAfterTime());
         return;
     }
     sendTo(*entry, results);
@@ -433,7 +433,10 @@
 {
     const bool isWrongEndpoint = attempt_->facts().isMisdirected;
     const bool lacksInputs = attempt_->head().status == net::status::conflict;
-    closeAttempt(isWrongEndpoint || lacksInputs ? dispatch::SendOutcome::Answered : dispatch::SendOutcome::Rejected);
+    // An endpoint that says when it wants requests again is not to be avoided for longer.
+    closeAttempt(attempt_->facts().quietTime          ? dispatch::SendOutcome::Cancelled
+                     : isWrongEndpoint || lacksInputs ? dispatch::SendOutcome::Answered
+                                                      : dispatch::SendOutcome::Rejected);
     if (!isWrongEndpoint) {
         ++attemptCount_;
     }
@@ -443,7 +446,7 @@
         return;
     }
     if (!retry("not run", false)) {
-        rejectOrFail("not run by the endpoint", defaultRetryAfter);
+        rejectOrFail("not run by the endpoint", retryAfterTime());
     }
 }
 
@@ -538,6 +541,18 @@
     }
 }
 
+/** Returns when a caller may come back: once an endpoint wants requests again, or soon. */
+Duration RequestHandler::retryAfterTime() const
+{
+    const auto endpointReturn = shared_.notices.earliestReturn(service_);
+    if (!endpointReturn) {
+        return defaultRetryAfter;
+    }
+    // The jitter may shorten the time by this share, and no caller has to come back before the endpoint does.
+    const double longest = toSeconds(*endpointReturn - now()) / (1 - retryAfterJitter);
+    return std::max(fromSeconds(longest), defaultRetryAfter);
+}
+
 /** Ends a request that may have run; aborts a stream that has started. */
 void RequestHandler::fail(int status, std::string_view reason)
 {
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -37,7 +37,8 @@
     std::uint64_t best = 0;
     for (const auto *entry : shared_.state.endpoints().availableEndpoints(service_)) {
         const std::uint64_t rank = hashBytes(entry->id.text(), session);
-        if (rank >= best && !shared_.loadBalancer.isEjected(entry->id, shared_.context.now())) {
+        if (rank >= best && !shared_.loadBalancer.isEjected(entry->id, shared_.context.now())
+            && !shared_.notices.quietUntil(entry->lifetime())) {
             best = rank;
             sessionEngine_ = entry->id;
         }
@@ -69,7 +70,7 @@
         const bool wasTried =
             std::find(triedEndpoints.begin(), triedEndpoints.end(), entry->id) != triedEndpoints.end();
         const bool isFull = maxConnections > 0 && shared_.loadBalancer.inFlight(entry->id) >= connectionsPerVm;
-        if (wasTried || isFull) {
+        if (wasTried || isFull || shared_.notices.quietUntil(entry->lifetime())) {
             continue;
         }
         const auto [zone, isFirstLookup] = reachableZones.try_emplace(entry->zone);
--- /dev/null
+++ b/tools/gateway/tests/endpoint_notices_test.cpp
@@ -0,0 +1,202 @@
+#include "requests.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace lacewing;
+using namespace lacewing::gateway_test;
+using namespace lacewing::platform_standin;
+using Behaviour = Endpoint::Behaviour;
+
+namespace
+{
+
+/** Two VMs of one zone, with two endpoints of each service. */
+struct Fixture {
+    explicit Fixture(std::size_t vms = 2)
+        : harness(vms)
+        , vmCount(vms)
+    {
+        for (const char *service : { "plain", "engine", "first", "second" }) {
+            for (const char *number : { "1", "2" }) {
+                harness.addEndpoint(std::string(service) + number,
+                                    service,
+                                    std::string_view(service) == "engine" ? Behaviour::Stream : Behaviour::Respond);
+            }
+        }
+        harness.store().publishDesiredState(makeState(1, allRoutes()));
+        harness.start();
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            harness.waitForLogLines({ vm }, "\"endpoint joined\"", harness.endpoints().size());
+        }
+        harness.waitForLinks();
+    }
+
+    Endpoint &endpoint(const std::string &id)
+    {
+        for (const auto &item : harness.endpoints()) {
+            if (item->identity().id == id) {
+                return *item;
+            }
+        }
+        cr_assert_fail("no endpoint %s", id.c_str());
+        return *harness.endpoints().front();
+    }
+
+    Response send(std::size_t vm, const char *target)
+    {
+        const std::string id = "id-" + std::to_string(++requests);
+        const bool isStaged = std::string_view(target) == "/staged/x";
+        return harness.sendAndWait(vm, "POST", target, isStaged ? stagedHeaders(id, { 1, 1 }) : headers(id), "body");
+    }
+
+    /** Sends requests until an endpoint has got one. */
+    void sendUntilReached(const std::string &id, const char *target)
+    {
+        const std::size_t before = arrivals(id);
+        harness.waitFor(
+            [&] {
+                send(0, target);
+                return arrivals(id) > before;
+            },
+            "a request at an endpoint");
+    }
+
+    std::size_t arrivals(const std::string &id)
+    {
+        return endpoint(id).receivedRequests().size() + endpoint(id).pieceCalls().size();
+    }
+
+    Harness harness;
+    std::size_t vmCount;
+    int requests = 0;
+};
+
+struct LeavingCase {
+    char endpoint[16];
+    char target[16];
+    Behaviour behaviour;
+};
+
+LeavingCase leavingCases[] = {
+    { "plain1", "/safe/x", Behaviour::Respond },    { "plain1", "/unsafe/x", Behaviour::Respond },
+    { "plain1", "/safe/x", Behaviour::Fail },       { "plain1", "/safe/x", Behaviour::Reject },
+    { "engine1", "/stream/x", Behaviour::Stream },  { "engine1", "/resumable/x", Behaviour::TruncateStream },
+    { "engine1", "/staged/x", Behaviour::Stream },  { "first1", "/staged/x", Behaviour::Respond },
+    { "second1", "/staged/x", Behaviour::Respond },
+};
+
+constexpr int requestsPerVm = 12;
+
+} // namespace
+
+ParameterizedTestParameters(endpointNotices, endpointThatLeavesGetsNothingNew)
+{
+    return cr_make_param_array(LeavingCase, leavingCases, std::size(leavingCases));
+}
+
+ParameterizedTest(LeavingCase *test, endpointNotices, endpointThatLeavesGetsNothingNew)
+{
+    Fixture f;
+    const std::string id = test->endpoint;
+    f.endpoint(id).setBehaviour(test->behaviour);
+    f.endpoint(id).announceLeaving();
+    f.sendUntilReached(id, test->target);
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"endpoint leaving\",\"fields\":{\"endpoint\":\"" + id, 1);
+    }
+    const std::size_t before = f.arrivals(id);
+    f.harness.store().registerEndpoint(f.endpoint(id)); // still ready, as far as the directory says
+    for (int count = 0; count < requestsPerVm; ++count) {
+        for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+            cr_assert_eq(f.send(vm, test->target).status, net::status::ok, "%s", test->endpoint);
+        }
+    }
+    cr_assert_eq(f.arrivals(id), before, "%s %s: %zu more", test->endpoint, test->target, f.arrivals(id) - before);
+}
+
+Test(endpointNotices, serviceWhoseEndpointsAllLeaveRefusesAtOnce)
+{
+    for (const char *service : { "plain", "first" }) {
+        Fixture f(1);
+        const char *target = std::string_view(service) == "plain" ? "/safe/x" : "/staged/x";
+        for (const char *number : { "1", "2" }) {
+            f.endpoint(std::string(service) + number).announceLeaving();
+            f.sendUntilReached(std::string(service) + number, target);
+        }
+        f.harness.waitForLogLines({ 0 }, "\"endpoint leaving\"", 2);
+        const auto response = f.send(0, target);
+        cr_assert_eq(response.status, net::status::unavailable, "%s: %d", service, response.status);
+        cr_assert(findRetryAfter(response.headers).has_value(), "%s", service);
+    }
+}
+
+struct QuietCase {
+    char endpoint[16];
+    char target[16];
+};
+
+QuietCase quietCases[] = { { "plain1", "/safe/x" },    { "plain1", "/unsafe/x" }, { "engine1", "/stream/x" },
+                           { "engine1", "/staged/x" }, { "first1", "/staged/x" }, { "second1", "/staged/x" } };
+
+ParameterizedTestParameters(endpointNotices, endpointThatAsksForQuietGetsNothing)
+{
+    return cr_make_param_array(QuietCase, quietCases, std::size(quietCases));
+}
+
+ParameterizedTest(QuietCase *test, endpointNotices, endpointThatAsksForQuietGetsNothing)
+{
+    Fixture f(1);
+    const std::string id = test->endpoint;
+    f.endpoint(id).rejectWithRetryAfter("60");
+    f.sendUntilReached(id, test->target);
+    const std::size_t before = f.arrivals(id);
+    for (int count = 0; count < requestsPerVm; ++count) {
+        cr_assert_eq(f.send(0, test->target).status, net::status::ok, "%s", test->endpoint);
+    }
+    cr_assert_eq(f.arrivals(id), before, "%s: %zu more", test->endpoint, f.arrivals(id) - before);
+}
+
+ParameterizedTestParameters(endpointNotices, callersReturnWhenTheFirstEndpointDoes)
+{
+    return cr_make_param_array(QuietCase, quietCases, std::size(quietCases));
+}
+
+ParameterizedTest(QuietCase *test, endpointNotices, callersReturnWhenTheFirstEndpointDoes)
+{
+    constexpr double firstReturn = 40; // seconds, less the time that the test takes
+    constexpr double slack = 20;
+    Fixture f(1);
+    const std::string id = test->endpoint;
+    const std::string other = id.substr(0, id.size() - 1) + "2";
+    f.endpoint(id).rejectWithRetryAfter("40");
+    f.endpoint(other).rejectWithRetryAfter("3000");
+    f.sendUntilReached(id, test->target);
+    f.harness.waitFor(
+        [&] {
+            f.send(0, test->target);
+            return f.arrivals(other) > 0;
+        },
+        "a request at the other endpoint");
+    std::set<std::string> times;
+    for (int count = 0; count < requestsPerVm; ++count) {
+        const auto response = f.send(0, test->target);
+        cr_assert_eq(response.status, net::status::unavailable, "%s: %d", test->endpoint, response.status);
+        const auto time = findRetryAfter(response.headers);
+        cr_assert(time.has_value());
+        cr_assert_gt(std::stod(*time), firstReturn - slack, "%s: %s", test->endpoint, time->c_str());
+        cr_assert_lt(std::stod(*time), 4 * firstReturn, "%s: %s", test->endpoint, time->c_str());
+        times.insert(*time);
+    }
+    cr_assert_gt(times.size(), 1U, "all callers return at once");
+    cr_assert_eq(f.arrivals(other), 1U);
+}
+
+Test(endpointNotices, endpointIsUsedAgainAfterItsQuietPeriod)
+{
+    Fixture f(1);
+    f.endpoint("plain1").rejectWithRetryAfter("0.3");
+    f.sendUntilReached("plain1", "/safe/x");
+    f.endpoint("plain1").rejectWithRetryAfter("");
+    f.sendUntilReached("plain1", "/safe/x");
+}
