Stages: pieces are given up when no endpoint of their stage can be reached

Callers whose stage had only endpoints that refuse connections were held until their time limit, 15 s in the log of crashInAnAnswerWithoutFramingIsNoticed: each connection failed at once, the pieces were queued again and tried every 700 ms. Now all waiting pieces fail once no endpoint has been reached for 1 s, so their requests are refused as not run; batchScheduler::piecesAreGivenUpWhenNoEndpointIsReached replays it.

--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -179,6 +179,12 @@
     std::vector<EndpointId> takeDrainTimedOutEndpoints(Time now);
     /** Excludes an endpoint from new calls until the given time, for example after a lost call. */
     void backOff(const EndpointId &endpoint, Time until);
+    /**
+     * Excludes an endpoint to which no connection could be set up from new calls until the given time.
+     *
+     * If no endpoint has been reached for some time, takeExpired() returns all queued pieces.
+     */
+    void recordUnreachable(const EndpointId &endpoint, Time until, Time now);
     /** Returns the time until an endpoint takes new calls, 0 if one does; Duration::max() if there is no endpoint. */
     Duration timeUntilUsable(Time now) const;
 
@@ -256,6 +262,7 @@
     };
 
     Duration nominalTime(std::size_t pieces) const noexcept;
+    bool isUnreachable(Time now) const noexcept;
     double lowestSlowdown(Time now) const noexcept;
     bool isSlow(const EndpointState &state, double lowestSlowdown) const noexcept;
     bool canStartCall(const EndpointState &state, Time now) const noexcept;
@@ -270,6 +277,7 @@
     routing::BatchConfig traits_;
     Duration drainTimeout_ = std::chrono::seconds(1);
     std::vector<PieceTask> waitingTasks_;
+    std::optional<Time> unreachableSince_; ///< no endpoint has been reached since then
     std::unordered_map<AvailabilityZoneId, std::size_t> waitingByZone_; ///< queued pieces that may wait for their zone
     std::unordered_map<EndpointId, EndpointState> endpointStates_;
     std::unordered_map<ResultHandle, StoredResult> storedResults_;
--- a/libs/stages/src/batch_scheduler.cpp
+++ b/libs/stages/src/batch_scheduler.cpp
@@ -29,6 +29,8 @@
 constexpr int maxCountedRejections = 8;
 /** Backoff after a lost call. */
 constexpr Duration lostCallBackoff = 400ms;
+/** Pieces are given up once no endpoint has been reached for so long. A restart of all endpoints takes longer. */
+constexpr Duration maxUnreachableTime = 1s;
 /** A piece waits for an endpoint in its preferred zone if at least this many bytes would cross zones elsewhere. */
 constexpr std::uint64_t minCrossZoneBytesToWait = 100'000;
 /** Time that must remain until the due time when a piece waits for its preferred zone. */
@@ -92,6 +94,21 @@
     }
 }
 
+void BatchScheduler::recordUnreachable(const EndpointId &endpoint, Time until, Time now)
+{
+    unreachableSince_ = unreachableSince_.value_or(now);
+    backOff(endpoint, until);
+}
+
+/** Returns whether no endpoint takes calls, and none has been reached for long. */
+bool BatchScheduler::isUnreachable(Time now) const noexcept
+{
+    const bool isCalling = std::any_of(
+        endpointStates_.begin(), endpointStates_.end(), [](const auto &item) { return item.second.callsInFlight > 0; });
+    return !isCalling && unreachableSince_ && now - *unreachableSince_ >= maxUnreachableTime
+        && timeUntilUsable(now) > Duration::zero();
+}
+
 Duration BatchScheduler::timeUntilUsable(Time now) const
 {
     Duration shortest = Duration::max();
@@ -116,6 +133,11 @@
 std::vector<PieceTask> BatchScheduler::takeExpired(Time now)
 {
     std::vector<PieceTask> expired;
+    if (isUnreachable(now)) {
+        unreachableSince_.reset(); // later pieces are tried again
+        expired.swap(waitingTasks_);
+        return expired;
+    }
     // Without any endpoint, one may still join in time.
     const Duration wait = timeUntilUsable(now);
     const Time earliestStart = wait == Duration::max() ? now : now + wait;
@@ -168,6 +190,9 @@
     state.memoryUsedBytes -= std::min(state.memoryUsedBytes, state.memoryReservedBytes);
     state.memoryReservedBytes = 0;
     state.piecesInFlight = 0;
+    if (outcome != CallOutcome::Lost) {
+        unreachableSince_.reset();
+    }
     switch (outcome) {
     case CallOutcome::Answered:
         state.consecutiveRejections = 0;
--- a/libs/stages/tests/batch_scheduler_test.cpp
+++ b/libs/stages/tests/batch_scheduler_test.cpp
@@ -440,3 +440,44 @@
     f.scheduler.setEndpoints({});
     cr_assert(f.scheduler.timeUntilUsable(f.now) == Duration::max());
 }
+
+namespace
+{
+
+struct UnreachableCase {
+    char name[32];
+    bool isOneReached; ///< else all endpoints refuse connections
+    bool isGivenUp; ///< within the time limit of this test
+};
+
+UnreachableCase unreachableCases[] = { { "all refuse connections", false, true }, { "one takes calls", true, false } };
+
+} // namespace
+
+ParameterizedTestParameters(batchScheduler, piecesAreGivenUpWhenNoEndpointIsReached)
+{
+    return cr_make_param_array(UnreachableCase, unreachableCases, std::size(unreachableCases));
+}
+
+ParameterizedTest(UnreachableCase *test, batchScheduler, piecesAreGivenUpWhenNoEndpointIsReached)
+{
+    constexpr Duration backoff = 700ms;
+    Fixture f(2);
+    f.add(1s, 15s);
+    std::size_t expired = 0;
+    for (const Time end = f.now + 2s; f.now < end; f.now += 5ms) {
+        expired += f.scheduler.takeExpired(f.now).size();
+        for (auto &call : f.scheduler.takeCalls(f.now)) {
+            if (test->isOneReached && call.endpoint == EndpointId("e1")) {
+                f.scheduler.recordCallEnd(call.endpoint, CallOutcome::Rejected, 0, f.now);
+            } else {
+                f.scheduler.recordCallEnd(call.endpoint, CallOutcome::Lost, 0, f.now);
+                f.scheduler.recordUnreachable(call.endpoint, f.now + backoff, f.now);
+            }
+            for (auto &piece : call.pieces) {
+                f.scheduler.add(std::move(piece));
+            }
+        }
+    }
+    cr_assert_eq(expired, test->isGivenUp ? 1U : 0U, "%s: %zu", test->name, expired);
+}
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -293,7 +293,7 @@
         scheduler_.backOff(call.endpoint, *quietUntil);
     }
     if (isUnreachable) {
-        scheduler_.backOff(call.endpoint, now() + unreachableBackoff);
+        scheduler_.recordUnreachable(call.endpoint, now() + unreachableBackoff, now());
         if (end.error->kind == ErrorKind::Unreachable) {
             shared_.poisonRequests.onUnreachable(inFlight.entry);
         }
