Gateway: an endpoint's 503 without 'not run' is no promise to the caller

Found while reading what is passed on of answers: an endpoint's 503 with its receipt, but without Not-Run, reached the caller as 503, which callers take for a promise that the request was not run and never will; they may repeat an unsafe request then. Now 502. answerFraming::endpointsRejectionWithoutNotRunIsNoPromiseToTheCaller failed before (503 /unsafe/x: 503).

--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -396,7 +396,9 @@
     if (retry(reason, true)) {
         return;
     }
-    const bool isEndpointFailure = attempt_->facts().hasReceipt && head.status >= net::status::internalError;
+    // Callers take 503 for a promise that the request was not run, which this endpoint did not make.
+    const bool isEndpointFailure = attempt_->facts().hasReceipt && head.status >= net::status::internalError
+        && head.status != net::status::unavailable;
     if (isEndpointFailure && !isHeadForwarded_) {
         writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_, framing);
         finish(head.status, reason);
--- a/tools/gateway/tests/answer_framing_test.cpp
+++ b/tools/gateway/tests/answer_framing_test.cpp
@@ -220,3 +220,20 @@
     f.harness.waitFor([&] { return response->has_value(); }, "a response");
     cr_assert(claimOf(**response) == Claim::BrokenOff);
 }
+
+Test(answerFraming, endpointsRejectionWithoutNotRunIsNoPromiseToTheCaller)
+{
+    for (const int status : { 408, 421, 429, 503 }) {
+        Fixture f(
+            [status](const std::string &receipt) -> std::vector<std::string> {
+                return { "HTTP/1.1 " + std::to_string(status) + " X\r\n" + receipt + "Content-Length: 0\r\n\r\n" };
+            },
+            Ending::KeepOpen);
+        for (const char *target : { "/unsafe/x", "/stream/x" }) {
+            const auto response = f.harness.sendAndWait(0, "POST", target, headers("id-1"), "body");
+            const bool isNotRun = status == 421; // says itself that the request is at the wrong endpoint
+            const int expected = isNotRun ? net::status::unavailable : net::status::badGateway;
+            cr_assert_eq(response.status, expected, "%d %s: %d", status, target, response.status);
+        }
+    }
+}
