--- a/tools/gateway/tests/endpoint_notices_test.cpp
+++ b/tools/gateway/tests/endpoint_notices_test.cpp
@@ -76,14 +76,21 @@
     char endpoint[16];
     char target[16];
     Behaviour behaviour;
+    bool isStoreAway; ///< else the directory goes on to list the endpoint as ready
 };
 
 LeavingCase leavingCases[] = {
-    { "plain1", "/safe/x", Behaviour::Respond },    { "plain1", "/unsafe/x", Behaviour::Respond },
-    { "plain1", "/safe/x", Behaviour::Fail },       { "plain1", "/safe/x", Behaviour::Reject },
-    { "engine1", "/stream/x", Behaviour::Stream },  { "engine1", "/resumable/x", Behaviour::TruncateStream },
-    { "engine1", "/staged/x", Behaviour::Stream },  { "first1", "/staged/x", Behaviour::Respond },
-    { "second1", "/staged/x", Behaviour::Respond },
+    { "plain1", "/safe/x", Behaviour::Respond, false },
+    { "plain1", "/safe/x", Behaviour::Respond, true },
+    { "plain1", "/unsafe/x", Behaviour::Respond, false },
+    { "plain1", "/safe/x", Behaviour::Fail, false },
+    { "plain1", "/safe/x", Behaviour::Reject, false },
+    { "engine1", "/stream/x", Behaviour::Stream, false },
+    { "engine1", "/resumable/x", Behaviour::TruncateStream, false },
+    { "engine1", "/staged/x", Behaviour::Stream, false },
+    { "first1", "/staged/x", Behaviour::Respond, false },
+    { "first1", "/staged/x", Behaviour::Respond, true },
+    { "second1", "/staged/x", Behaviour::Respond, false },
 };
 
 constexpr int requestsPerVm = 12;
@@ -100,6 +107,9 @@
     Fixture f;
     const std::string id = test->endpoint;
     f.endpoint(id).setBehaviour(test->behaviour);
+    if (test->isStoreAway) {
+        f.harness.store().setFault(Store::Fault::Unavailable);
+    }
     f.endpoint(id).announceLeaving();
     f.sendUntilReached(id, test->target);
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
