Gateway: releases for other endpoints go on while one wants no requests; each VM knows its own address

A VM whose address had not been read back before the store lost it did not write it again; it now writes what it is, unless it leaves. Entries of endpoints that are draining no longer count as released.

--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -185,7 +185,7 @@
         Record &record = it->second;
         if (record.heldUntil && *record.heldUntil <= now) {
             record.heldUntil.reset();
-            ++expiry.released;
+            expiry.released += record.isAvailable() ? 1 : 0;
         }
         if (record.removalDueAt && *record.removalDueAt <= now) {
             recordEnd(record.entry, now);
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -110,15 +110,20 @@
 void BatchDispatcher::release(const HeldResult &result)
 {
     scheduler_.releaseResult(result.handle);
-    if (pendingReleases_.empty()) {
-        sendReleasesAt(now() + releaseDelay);
-    }
     pendingReleases_[result.endpoint].push_back(result.handle);
+    scheduleReleases(now() + releaseDelay);
 }
 
-void BatchDispatcher::sendReleasesAt(Time due)
+void BatchDispatcher::scheduleReleases(Time due)
 {
-    shared_.context.loop.timers().once(due, [this](Time) { sendReleases(); });
+    if (releasesDueAt_ && *releasesDueAt_ <= due) {
+        return;
+    }
+    releasesDueAt_ = due;
+    shared_.context.loop.timers().once(due, [this](Time) {
+        releasesDueAt_.reset();
+        sendReleases();
+    });
 }
 
 void BatchDispatcher::scheduleRun(Duration wait)
@@ -370,7 +375,7 @@
         shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
     }
     if (firstReturn) {
-        sendReleasesAt(std::max(*firstReturn, now() + releaseDelay));
+        scheduleReleases(std::max(*firstReturn, now() + releaseDelay));
     }
     scheduleRun(Duration::zero());
 }
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -93,7 +93,7 @@
     void requeue(const stages::BatchCall &call);
     bool notify(stages::PieceTicket ticket, const PieceOutcome &outcome);
     void sendReleases();
-    void sendReleasesAt(Time due);
+    void scheduleReleases(Time due);
 
     Time now() const noexcept
     {
@@ -109,6 +109,7 @@
     std::uint64_t lastCallNumber_ = 0;
     std::unordered_map<stages::PieceTicket, Callback> callbacks_;
     std::map<EndpointId, std::vector<stages::ResultHandle>> pendingReleases_; ///< releases not yet sent, by endpoint
+    std::optional<Time> releasesDueAt_; ///< next time at which releases are sent
     TimerHandle timer_;
     Time timerDueAt_;
 };
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -72,8 +72,7 @@
 {
     watch(Topic::Operator, operatorWatchTimes);
     watch(Topic::Endpoints, endpointWatchTimes);
-    const auto &settings = context_.settings;
-    store_.put(settings.vm.text(), settings.zone.text() + " " + links_.address());
+    store_.put(context_.settings.vm.text(), ownAddressValue());
     watch(Topic::Vms, vmWatchTimes);
     context_.loop.timers().every(
         context_.now() + initialReadingTime, readerCheckInterval, [this](Time) { updateStoreReading(); });
@@ -81,8 +80,14 @@
         context_.now() + expiryCheckInterval, expiryCheckInterval, [this](Time now) { expireEndpoints(now); });
 }
 
+std::string FleetState::ownAddressValue() const
+{
+    return context_.settings.zone.text() + " " + links_.address();
+}
+
 void FleetState::deregister(std::function<void()> onDone)
 {
+    isDeregistered_ = true;
     store_.remove(context_.settings.vm.text(), std::move(onDone));
 }
 
@@ -175,14 +180,16 @@
 void FleetState::rewriteLostRecords(const std::vector<StoreRecord> &remaining)
 {
     const bool writesQuarantines = links_.isResponsible("quarantines", 1);
-    std::vector<StoreRecord> lost;
+    const auto isLost = [&](std::string_view key) {
+        return std::none_of(remaining.begin(), remaining.end(), [&](const auto &record) { return record.key == key; });
+    };
+    std::vector<std::pair<std::string, std::string>> lost; // key, value
+    if (const std::string &own = context_.settings.vm.text(); isLost(own) && !isDeregistered_) {
+        lost.emplace_back(own, ownAddressValue());
+    }
     for (const auto &[key, record] : replicas_[Topic::Vms].records) {
-        const bool isOwn = key == context_.settings.vm.text();
-        const bool isQuarantine = writesQuarantines && key.starts_with(quarantineKeyPrefix);
-        const bool isLost = std::none_of(
-            remaining.begin(), remaining.end(), [&, name = key](const auto &present) { return present.key == name; });
-        if (record.value && isLost && (isOwn || isQuarantine)) {
-            lost.push_back(record);
+        if (writesQuarantines && key.starts_with(quarantineKeyPrefix) && record.value && isLost(key)) {
+            lost.emplace_back(key, *record.value);
         }
     }
     if (lost.empty()) {
@@ -192,8 +199,8 @@
     context_.logger.state("lost records written again",
                           { { "records", lost.size() }, { "delay_ms", toMilliseconds(delay) } });
     context_.loop.timers().once(context_.now() + delay, [this, lost = std::move(lost)](Time) {
-        for (const auto &record : lost) {
-            store_.put(record.key, *record.value);
+        for (const auto &[key, value] : lost) {
+            store_.put(key, value);
         }
     });
 }
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -88,6 +88,7 @@
                       bool isSnapshot);
     void handleRollback(userplatform::Topic topic, std::uint64_t era);
     void rewriteLostRecords(const std::vector<userplatform::StoreRecord> &remaining);
+    std::string ownAddressValue() const;
     static void markRemoved(TopicReplica &replica,
                             const std::vector<userplatform::StoreRecord> &remaining,
                             userplatform::LogPosition end);
@@ -118,6 +119,7 @@
     std::shared_ptr<const routing::RouteTable> routes_;
     routing::EndpointDirectory endpoints_;
     bool endpointsLoaded_ = false;
+    bool isDeregistered_ = false; ///< this VM leaves and has removed its address
     bool readsStore_ = true; ///< whether this VM reads the store itself
 };
 
--- a/tools/gateway/tests/endpoint_notices_test.cpp
+++ b/tools/gateway/tests/endpoint_notices_test.cpp
@@ -210,3 +210,34 @@
     f.endpoint("plain1").rejectWithRetryAfter("");
     f.sendUntilReached("plain1", "/safe/x");
 }
+
+Test(endpointNotices, resultsOfOtherEndpointsAreReleasedMeanwhile)
+{
+    Fixture f(1);
+    f.harness.store().removeEndpoint("second2");
+    f.harness.waitForLogLines({ 0 }, "\"endpoint removed\"", 1);
+    for (const char *id : { "engine1", "engine2" }) {
+        f.endpoint(id).setBehaviour(Behaviour::Hold);
+    }
+    const auto sendHeld = [&](const std::string &id, std::chrono::milliseconds timeout) {
+        return f.harness.sendAsync(
+            0,
+            "POST",
+            "/staged/x",
+            requestHeaders({ .id = id, .apiKey = key, .callerTimeout = timeout, .pieceCounts = { 1, 1 } }),
+            id);
+    };
+    const auto first = sendHeld("held-1", 1s);
+    const auto second = sendHeld("held-2", 2s);
+    f.harness.waitFor([&] { return f.arrivals("engine1") + f.arrivals("engine2") == 2; }, "held requests");
+    f.endpoint("second1").rejectWithRetryAfter("3000");
+    f.harness.waitForLogLines({ 0 }, "\"endpoint wants no requests\"", 1); // the release for the first request
+    f.harness.waitFor([&] { return second->has_value(); }, "the end of the second request"); // its release has to wait
+    f.harness.store().registerEndpoint(f.endpoint("second2"));
+    for (const char *id : { "engine1", "engine2" }) {
+        f.endpoint(id).setBehaviour(Behaviour::Stream);
+    }
+    f.sendUntilReached("second2", "/staged/x");
+    f.harness.waitFor([&] { return f.endpoint("second2").results().empty(); }, "released results");
+    cr_assert_eq(f.endpoint("second1").results().size(), 2U);
+}
