Gateway: log the parts of a prompt, and how long an answer had been arriving when its connection was lost

Now: 'prompt_parts' in 'request completed' and 'connection lost', 'answering_ms' in the latter. No change of decisions. Figures: none measured; the lines are longer by the ids.

--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -65,6 +65,11 @@
     shared_.loadBalancer.onSendEnded(endpoint_.id, outcome, timeToFirstByte_, shared_.context.now());
 }
 
+std::optional<Duration> EndpointAttempt::timeSinceFirstByte() const
+{
+    return timeToFirstByte_ ? std::optional(shared_.context.now() - startedAt_ - *timeToFirstByte_) : std::nullopt;
+}
+
 bool EndpointAttempt::isSuccess() const noexcept
 {
     return head_.status >= net::status::ok && head_.status < firstNonSuccessStatus;
--- a/tools/gateway/src/endpoint_attempt.h
+++ b/tools/gateway/src/endpoint_attempt.h
@@ -57,6 +57,8 @@
     {
         return timeToFirstByte_;
     }
+    /** Returns how long the response has been arriving; empty if there is no head. */
+    std::optional<Duration> timeSinceFirstByte() const;
     bool isSuccess() const noexcept;
     /** Returns whether the response is a success with a receipt of the endpoint for this request. */
     bool isAuthentic(const stages::RequestId &request) const;
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -264,7 +264,12 @@
     if (end.error->kind == ErrorKind::ConnectionLost) {
         shared_.decisionLog.write(
             "connection lost",
-            { { "request", facts_.id }, { "fingerprint", fingerprint_ }, { "endpoint", attempt_->endpoint() } },
+            { { "request", facts_.id },
+              { "fingerprint", fingerprint_ },
+              { "endpoint", attempt_->endpoint() },
+              { "prompt_parts", toText(facts_.promptParts) },
+              { "answering_ms",
+                attempt_->timeSinceFirstByte() ? toMilliseconds(*attempt_->timeSinceFirstByte()) : -1 } },
             now());
         shared_.poisonRequests.onConnectionLost(attempt_->entry(), fingerprint_, shared_.client);
     }
--- a/tools/gateway/src/request_context.cpp
+++ b/tools/gateway/src/request_context.cpp
@@ -1,5 +1,8 @@
 #include "request_context.h"
 
+#include <array>
+#include <charconv>
+
 namespace lacewing::gateway
 {
 namespace
@@ -10,6 +13,19 @@
 
 } // namespace
 
+std::string toText(std::span<const dispatch::PromptSegment> parts)
+{
+    std::string text;
+    for (const auto &part : parts) {
+        std::array<char, 2 * sizeof(part.id)> digits {};
+        constexpr int hexadecimal = 16;
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), part.id, hexadecimal).ptr;
+        text += text.empty() ? "" : ",";
+        text.append(digits.data(), end);
+    }
+    return text;
+}
+
 double RouteAverages::update(const routing::RouteId &route, double value)
 {
     double &average = averages_[route];
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -21,6 +22,9 @@
 
 class RequestHandler;
 
+/** Returns the ids of the parts of a prompt in hexadecimal, separated by commas. */
+std::string toText(std::span<const dispatch::PromptSegment> parts);
+
 /** Exponential moving average over the requests of each route. */
 class RouteAverages
 {
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -284,7 +284,8 @@
           { "attempts", attemptCount_ },
           { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() },
           { "framing", attempt_ && timeToFirstByte ? toText(attempt_->head().framing) : std::string_view() },
-          { "inside_event", isInsideEvent() } },
+          { "inside_event", isInsideEvent() },
+          { "prompt_parts", toText(facts_.promptParts) } },
         now());
     shared_.recordRequest(route, status, time);
     phase_ = Phase::Done;
