Gateway: prompt parts that crash endpoints are quarantined

Cause: the unit of suspicion was the request's fingerprint. Requests that differ but share the cause gather one crash each, so no quarantine ever came. The class: what identifies a cause was fixed in advance as the whole request.

Now: PromptPartTracker (no I/O) tells the deadly part from those that sound requests share, by answers that refute and by crashes that are already explained; PoisonPromptGuard exchanges the evidence, checks at each send, and stores verdicts.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -7,13 +7,15 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 /**
- * Dispatch of requests to endpoints: load balancing, retry budgets, and detection of requests that crash endpoints.
+ * Dispatch of requests to endpoints: load balancing, retry budgets, and detection of requests and prompt parts that
+ * crash endpoints.
  *
  * This library performs no I/O; the current time is passed in by the caller and random numbers come from a seed.
  */
@@ -217,10 +219,25 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Requests that crash endpoints
 
+/** A part of a prompt, which requests may share. */
+using PromptPartId = Number<struct PromptPartTag>;
+
+/** Returns the parts of a prompt that other requests may share: all but the last, which belongs to its request. */
+std::vector<PromptPartId> sharedParts(std::span<const PromptSegment> prompt);
+
+/** A request whose connection ended while an endpoint executed it, or ended its answer. */
+struct LostRequest {
+    Fingerprint request;
+    std::vector<PromptPartId> sharedParts; ///< in the order of the prompt
+    std::optional<Time> answerBeganAt; ///< arrival of the first byte of the answer
+    Time lostAt;
+    bool mayBeComplete = false; ///< the answer may have ended as it should: only the connection marked its end
+};
+
 /** Requests that were in flight when an endpoint crashed. */
 struct Crash {
     routing::EndpointLifetime endpoint;
-    std::vector<Fingerprint> requests; ///< each once
+    std::vector<LostRequest> requests; ///< each once
 };
 
 /**
@@ -234,21 +251,19 @@
 class CrashDetector
 {
 public:
-    /** Called when a connection is lost while the endpoint executes a request. */
-    void onConnectionLost(const routing::EndpointLifetime &endpoint, Fingerprint request, Time now);
+    /** Called when a connection ends while the endpoint executes a request. */
+    void onConnectionLost(const routing::EndpointLifetime &endpoint, LostRequest lost);
     /** Called when no connection can be established. @return requests in flight at the crash, each reported once */
-    std::vector<Fingerprint> onUnreachable(const routing::EndpointLifetime &endpoint, Time now);
+    std::vector<LostRequest> onUnreachable(const routing::EndpointLifetime &endpoint, Time now);
+    /** Called when a connection was established. Answers that ended before it was attempted are complete. */
+    void onReachable(const routing::EndpointLifetime &endpoint, Time attemptedAt);
     /** Called when the directory has changed. @return crashes of endpoints whose lifetime has ended, each once */
     std::vector<Crash> takeEnded(const routing::EndpointDirectory &directory, Time now);
-    /** Removes old lost requests. @return number of lost requests that were not found to be due to a crash */
+    /** Removes old lost requests. @return number of requests that were certainly lost, but not due to a crash */
     std::size_t expire(Time now);
 
 private:
-    struct LostRequest {
-        Fingerprint request;
-        Time lostAt;
-    };
-    std::vector<Fingerprint> take(const routing::EndpointLifetime &endpoint, Duration window, Time now);
+    std::vector<LostRequest> take(const routing::EndpointLifetime &endpoint, Duration window, Time now);
 
     std::map<routing::EndpointLifetime, std::vector<LostRequest>> lostRequests_;
 };
@@ -308,6 +323,126 @@
     std::unordered_map<Fingerprint, Suspect> suspects_;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Prompt parts that crash endpoints
+
+/** A crash of an endpoint that was executing requests with a prompt part. */
+struct PartCrash {
+    routing::EndpointLifetime endpoint;
+    Time at; ///< when the latest answer to such a request began there; if none had, when the connection was lost
+};
+
+/** What is known about a prompt part that was in flight when endpoints crashed. */
+struct SuspectPart {
+    PromptPartId part;
+    std::vector<PartCrash> crashes; ///< those not refuted by a success; sorted by endpoint, each once
+    std::optional<Time> lastSuccessAt; ///< when the latest answer began whose endpoint lived on
+    Duration longestAnswer {}; ///< longest time for which an answer had been arriving when its endpoint crashed
+    std::uint32_t position = 0; ///< largest position in a prompt
+    std::uint32_t trialCount = 0; ///< requests let through while it was quarantined
+    std::optional<Time> lastTrialAt;
+    Time updatedAt; ///< latest crash, trial or rejection
+};
+
+/**
+ * Detects prompt parts that crash any endpoint that begins to answer a request with them.
+ *
+ * The requests differ from each other, so what crashes endpoints shows only in what they share. The parts that sound
+ * requests share are in flight at the same crashes. They are told apart in two ways:
+ * - An answer that ended, or that has been arriving for long, refutes all crashes before its beginning if its endpoint
+ *   lives on. A part that has succeeded shortly before its crashes is quarantined only after a time for such answers.
+ * - A crash has one cause. The part that explains most crashes is quarantined, and the others in flight at them are not
+ *   held responsible. A part in answers that had been arriving for long is the less likely cause, and among equals the
+ *   part that comes later in prompts is.
+ *
+ * VMs exchange what they know. Merging is a union of crashes and the latest of times, so VMs that have exchanged
+ * everything agree, but for the delay of messages.
+ */
+class PromptPartTracker
+{
+public:
+    /** An endpoint that crashes does so within this time after the beginning of the answer that causes it. */
+    static constexpr Duration maxCrashDelay = std::chrono::seconds(1);
+
+    /** Records a crash. @return the parts for which it adds something */
+    std::vector<PromptPartId> recordCrash(const routing::EndpointLifetime &endpoint,
+                                          std::span<const LostRequest> requests,
+                                          Time now);
+    /** Records that an answer has ended, or has been arriving for maxCrashDelay. It counts if its endpoint lives on. */
+    void recordAnswer(const routing::EndpointLifetime &endpoint,
+                      std::vector<PromptPartId> parts,
+                      Time beganAt,
+                      Time now);
+    /** Records that a request was rejected because of a quarantined part, which prolongs the quarantine. */
+    void recordRejection(PromptPartId part, Time now);
+    /** Merges what another VM knows. @return whether this VM knows a success that refutes what the other one knows */
+    bool merge(const SuspectPart &part, Time now);
+
+    /** Changes since the last call of update(). */
+    struct Changes {
+        std::vector<PromptPartId> quarantined;
+        std::vector<PromptPartId> released;
+        std::vector<PromptPartId> refuted; ///< parts with several crashes that an answer at this VM has refuted
+        /** Parts that are about to be quarantined although they have succeeded recently: other VMs may know of a later
+         * success. */
+        std::vector<PromptPartId> unconfirmed;
+    };
+    /** Decides about all parts. Must be called after each change, and at nextUpdateAt(). */
+    Changes update(Time now);
+    /** Returns when update() has to be called next; empty if only after a change. */
+    std::optional<Time> nextUpdateAt() const noexcept;
+
+    /** Returns the first of some parts that must not be sent to endpoints; empty if there is none. */
+    std::optional<PromptPartId> findQuarantined(std::span<const PromptPartId> parts) const;
+    /** Returns whether a quarantined part was in flight at the crash of an endpoint. */
+    bool isExplained(const routing::EndpointLifetime &endpoint) const;
+    /** Returns whether one request with a quarantined part may be sent, to find out whether endpoints still crash. */
+    bool isTrialDue(PromptPartId part, Time now) const;
+    void recordTrial(PromptPartId part, Time now);
+
+    /** Returns null if the part was in flight at no crash, as far as it is known. */
+    const SuspectPart *find(PromptPartId part) const;
+    std::vector<SuspectPart> quarantinedParts() const;
+    /** Returns a digest of the quarantined parts; 0 if there are none. */
+    std::uint64_t digest() const noexcept
+    {
+        return digest_;
+    }
+    void expire(Time now);
+    std::size_t size() const noexcept
+    {
+        return parts_.size();
+    }
+
+private:
+    struct PendingAnswer {
+        routing::EndpointLifetime endpoint;
+        std::vector<PromptPartId> parts;
+        Time beganAt;
+        Time countsAt;
+    };
+
+    SuspectPart &findOrAdd(PromptPartId part);
+    static bool addCrash(SuspectPart &part, const PartCrash &crash);
+    static bool applySuccess(SuspectPart &part, Time beganAt);
+    void recordSuccess(PromptPartId part, Time beganAt, Changes &changes);
+    std::optional<Time> knownSuccess(PromptPartId part) const;
+    std::set<PromptPartId> decide(Time now, std::vector<PromptPartId> &unconfirmed);
+
+    std::unordered_map<PromptPartId, SuspectPart> parts_;
+    std::deque<PendingAnswer> pendingAnswers_; ///< by the time at which they count
+    /** Beginnings of the latest successful answers by part, of parts without crashes too. */
+    std::unordered_map<PromptPartId, Time> recentSuccesses_;
+    std::unordered_map<PromptPartId, Time> olderSuccesses_;
+    Time successesRotatedAt_;
+    std::set<PromptPartId> quarantined_;
+    std::set<routing::EndpointLifetime> explainedCrashes_;
+    std::uint64_t digest_ = 0;
+    bool hasChanged_ = false; ///< since the last decision
+    std::optional<Time> nextDecisionAt_;
+    std::map<PromptPartId, Time> inquiries_; ///< unconfirmed parts by the time at which they are quarantined
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Rejected requests
 
--- a/libs/dispatch/src/crash_detector.cpp
+++ b/libs/dispatch/src/crash_detector.cpp
@@ -22,16 +22,38 @@
 
 } // namespace
 
-void CrashDetector::onConnectionLost(const EndpointLifetime &endpoint, Fingerprint request, Time now)
+std::vector<PromptPartId> sharedParts(std::span<const PromptSegment> prompt)
 {
-    lostRequests_[endpoint].push_back({ request, now });
+    std::vector<PromptPartId> parts;
+    for (std::size_t part = 0; part + 1 < prompt.size(); ++part) {
+        parts.emplace_back(prompt[part].id);
+    }
+    return parts;
+}
+
+void CrashDetector::onConnectionLost(const EndpointLifetime &endpoint, LostRequest lost)
+{
+    lostRequests_[endpoint].push_back(std::move(lost));
 }
 
-std::vector<Fingerprint> CrashDetector::onUnreachable(const EndpointLifetime &endpoint, Time now)
+std::vector<LostRequest> CrashDetector::onUnreachable(const EndpointLifetime &endpoint, Time now)
 {
     return take(endpoint, unreachableWindow, now);
 }
 
+void CrashDetector::onReachable(const EndpointLifetime &endpoint, Time attemptedAt)
+{
+    const auto found = lostRequests_.find(endpoint);
+    if (found == lostRequests_.end()) {
+        return;
+    }
+    std::erase_if(found->second,
+                  [&](const LostRequest &lost) { return lost.mayBeComplete && lost.lostAt < attemptedAt; });
+    if (found->second.empty()) {
+        lostRequests_.erase(found);
+    }
+}
+
 std::vector<Crash> CrashDetector::takeEnded(const routing::EndpointDirectory &directory, Time now)
 {
     std::vector<EndpointLifetime> ended;
@@ -54,26 +76,29 @@
 {
     std::size_t expired = 0;
     for (auto &[endpoint, requests] : lostRequests_) {
-        expired +=
-            std::erase_if(requests, [&](const LostRequest &lost) { return now - lost.lostAt > directoryWindow; });
+        const auto isOld = [&](const LostRequest &lost) { return now - lost.lostAt > directoryWindow; };
+        expired += static_cast<std::size_t>(std::count_if(
+            requests.begin(), requests.end(), [&](const auto &lost) { return isOld(lost) && !lost.mayBeComplete; }));
+        std::erase_if(requests, isOld);
     }
     std::erase_if(lostRequests_, [](const auto &item) { return item.second.empty(); });
     return expired;
 }
 
 /** Removes the requests lost at an endpoint within a time before now, and returns each once. */
-std::vector<Fingerprint> CrashDetector::take(const EndpointLifetime &endpoint, Duration window, Time now)
+std::vector<LostRequest> CrashDetector::take(const EndpointLifetime &endpoint, Duration window, Time now)
 {
-    std::vector<Fingerprint> requests;
+    std::vector<LostRequest> requests;
     const auto found = lostRequests_.find(endpoint);
     if (found == lostRequests_.end()) {
         return requests;
     }
     const auto isRecent = [&](const LostRequest &lost) { return now - lost.lostAt <= window; };
     for (const auto &lost : found->second) {
-        const bool isListed = std::find(requests.begin(), requests.end(), lost.request) != requests.end();
+        const bool isListed = std::any_of(
+            requests.begin(), requests.end(), [&](const auto &listed) { return listed.request == lost.request; });
         if (isRecent(lost) && !isListed) {
-            requests.push_back(lost.request);
+            requests.push_back(lost);
         }
     }
     std::erase_if(found->second, isRecent);
--- a/libs/dispatch/tests/dispatch_test.cpp
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -287,6 +287,23 @@
     return entry;
 }
 
+LostRequest lostRequest(std::uint64_t request, Time lostAt)
+{
+    LostRequest lost;
+    lost.request = Fingerprint(request);
+    lost.lostAt = lostAt;
+    return lost;
+}
+
+std::vector<Fingerprint> requestsOf(const std::vector<LostRequest> &lost)
+{
+    std::vector<Fingerprint> requests;
+    for (const auto &request : lost) {
+        requests.push_back(request.request);
+    }
+    return requests;
+}
+
 /** What a VM tells others of a request. */
 Suspect suspectOf(const PoisonRequestTracker &tracker, Fingerprint request)
 {
@@ -301,14 +318,14 @@
 {
     CrashDetector detector;
     const auto endpoint = lifetime("e");
-    detector.onConnectionLost(endpoint, Fingerprint(1), start);
-    detector.onConnectionLost(endpoint, Fingerprint(2), start + 100ms);
-    detector.onConnectionLost(endpoint, Fingerprint(2), start + 100ms);
+    detector.onConnectionLost(endpoint, lostRequest(1, start));
+    detector.onConnectionLost(endpoint, lostRequest(2, start + 100ms));
+    detector.onConnectionLost(endpoint, lostRequest(2, start + 100ms));
     cr_assert(detector.onUnreachable(lifetime("f"), start + 200ms).empty());
-    const auto crashed = detector.onUnreachable(endpoint, start + 200ms);
+    const auto crashed = requestsOf(detector.onUnreachable(endpoint, start + 200ms));
     cr_assert(crashed == (std::vector<Fingerprint> { Fingerprint(1), Fingerprint(2) }));
     cr_assert(detector.onUnreachable(endpoint, start + 300ms).empty(), "a crash was reported twice");
-    detector.onConnectionLost(endpoint, Fingerprint(3), start);
+    detector.onConnectionLost(endpoint, lostRequest(3, start));
     cr_assert(detector.onUnreachable(endpoint, start + 5s).empty(),
               "a lost connection long before was reported as a crash");
 }
@@ -338,7 +355,7 @@
     CrashDetector detector;
     const auto lost = lifetime("e");
     directory.update(entryOf(lost), start);
-    detector.onConnectionLost(lost, Fingerprint(1), start);
+    detector.onConnectionLost(lost, lostRequest(1, start));
     cr_assert(detector.takeEnded(directory, start).empty(), "%s", test->name);
     const Time now = start + std::chrono::milliseconds(test->lossAgeMs);
     if (test->registered == 0) {
@@ -350,7 +367,8 @@
     cr_assert_eq(!crashes.empty(), test->isCrash, "%s", test->name);
     if (test->isCrash) {
         cr_assert(crashes.front().endpoint == lost, "%s", test->name);
-        cr_assert(crashes.front().requests == std::vector<Fingerprint> { Fingerprint(1) }, "%s", test->name);
+        cr_assert(
+            requestsOf(crashes.front().requests) == std::vector<Fingerprint> { Fingerprint(1) }, "%s", test->name);
         cr_assert(detector.takeEnded(directory, now).empty(), "%s: reported twice", test->name);
     }
 }
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -33,9 +33,9 @@
 /** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
 constexpr std::string_view quarantineKeyPrefix = "quarantine/";
 
-std::string quarantineKey(std::uint64_t fingerprint)
+std::string quarantineKey(std::string_view name)
 {
-    return std::string(quarantineKeyPrefix) + std::to_string(fingerprint);
+    return std::string(quarantineKeyPrefix) + std::string(name);
 }
 
 std::string_view topicName(Topic topic)
@@ -57,7 +57,7 @@
                        FleetLinks &links,
                        std::uint64_t seed,
                        std::function<void()> onChanged,
-                       std::function<void(const SuspectMessage &)> onQuarantineRead)
+                       std::function<void(std::string_view name, const std::string &bytes)> onQuarantineRead)
     : context_(context)
     , links_(links)
     , random_(seed)
@@ -296,7 +296,7 @@
 {
     if (record.key.starts_with(quarantineKeyPrefix)) {
         if (record.value) {
-            applyQuarantine(*record.value);
+            applyQuarantine(std::string_view(record.key).substr(quarantineKeyPrefix.size()), *record.value);
         }
         return;
     }
@@ -309,29 +309,24 @@
     links_.updateAddress(vm, AvailabilityZoneId(record.value->substr(0, space)), record.value->substr(space + 1));
 }
 
-void FleetState::applyQuarantine(const std::string &value)
+void FleetState::applyQuarantine(std::string_view name, const std::string &value)
 {
-    const auto message = net::fromBase64(value);
-    if (!message) {
-        context_.logger.warn("malformed quarantine", { { "error", message.error().detail } });
+    const auto bytes = net::fromBase64(value);
+    if (!bytes) {
+        context_.logger.warn("malformed quarantine", { { "name", name }, { "error", bytes.error().detail } });
         return;
     }
-    const auto suspect = wire::decode<SuspectMessage>(message.value());
-    if (!suspect) {
-        context_.logger.warn("malformed quarantine", { { "error", suspect.error().detail } });
-        return;
-    }
-    onQuarantineRead_(suspect.value());
+    onQuarantineRead_(name, bytes.value());
 }
 
-void FleetState::storeQuarantine(const SuspectMessage &suspect)
+void FleetState::storeQuarantine(std::string_view name, const std::string &bytes)
 {
-    store_.put(quarantineKey(suspect.fingerprint), net::toBase64(wire::encode(suspect)));
+    store_.put(quarantineKey(name), net::toBase64(bytes));
 }
 
-void FleetState::removeQuarantine(Fingerprint request)
+void FleetState::removeQuarantine(std::string_view name)
 {
-    store_.remove(quarantineKey(request.value()), [] {});
+    store_.remove(quarantineKey(name), [] {});
 }
 
 bool FleetState::markLeaving(const routing::EndpointLifetime &lifetime, std::string_view source)
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -30,17 +30,17 @@
                FleetLinks &links,
                std::uint64_t seed,
                std::function<void()> onChanged,
-               std::function<void(const SuspectMessage &)> onQuarantineRead);
+               std::function<void(std::string_view name, const std::string &bytes)> onQuarantineRead);
 
     /** Starts to read the store, and registers this VM's address in it. */
     void start();
     /** Removes this VM's address from the store. */
     void deregister(std::function<void()> onDone);
 
-    /** Writes a quarantined request to the store, where a restart of all VMs does not end the quarantine. */
-    void storeQuarantine(const SuspectMessage &suspect);
-    /** Removes a request from the store; not retried on failure. */
-    void removeQuarantine(Fingerprint request);
+    /** Writes a quarantine to the store, where a restart of all VMs does not end it. @param name unique among them */
+    void storeQuarantine(std::string_view name, const std::string &bytes);
+    /** Removes a quarantine from the store; not retried on failure. */
+    void removeQuarantine(std::string_view name);
 
     /** Returns the routes of the desired state in force; null until one has been read. */
     const std::shared_ptr<const routing::RouteTable> &routes() const noexcept
@@ -96,7 +96,7 @@
     bool acceptDesiredState(const userplatform::StoreRecord &record);
     void applyEndpoint(const userplatform::StoreRecord &record);
     void applyVm(const userplatform::StoreRecord &record);
-    void applyQuarantine(const std::string &value);
+    void applyQuarantine(std::string_view name, const std::string &value);
     void pushRecords(userplatform::Topic topic,
                      userplatform::LogPosition start,
                      const std::vector<userplatform::StoreRecord> &records);
@@ -113,7 +113,7 @@
     FleetLinks &links_;
     Random random_;
     std::function<void()> onChanged_;
-    std::function<void(const SuspectMessage &)> onQuarantineRead_;
+    std::function<void(std::string_view name, const std::string &bytes)> onQuarantineRead_;
     userplatform::StoreClient store_;
     std::map<userplatform::Topic, TopicReplica> replicas_;
     std::shared_ptr<const routing::RouteTable> routes_;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -57,16 +57,17 @@
           links_,
           random_.next(),
           [this] { handleStateChange(); },
-          [this](const SuspectMessage &suspect) { poisonRequests_.handleStoredQuarantine(suspect); })
+          [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); })
     , notices_(context, links_, state_)
-    , poisonRequests_(context, links_, state_, notices_)
+    , poisonPrompts_(context, links_, state_, random_.next(), [this] { rejectQuarantinedRequests(); })
+    , poisonRequests_(context, links_, state_, notices_, poisonPrompts_)
     , pieces_(context, links_, state_, notices_, poisonRequests_, random_.next())
     , client_(context.loop, endpointOptions(context))
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context,       links_,       state_,          notices_,     pieces_, client_,
-                loadBalancer_, prefixCache_, poisonRequests_, decisionLog_, random_ }
+    , shared_ { context,       links_,       state_,          notices_,       pieces_,      client_,
+                loadBalancer_, prefixCache_, poisonRequests_, poisonPrompts_, decisionLog_, random_ }
     , callerServer_(context.loop,
                     callerOptions(context),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
@@ -105,6 +106,7 @@
         loadBalancer_.prune(state_.endpoints());
         prefixCache_.expire(now);
         poisonRequests_.expire(now);
+        poisonPrompts_.expire(now);
         notices_.expire(now);
         shared_.rejectionHistory.expire(now);
     });
@@ -181,11 +183,31 @@
     pieces_.refresh();
 }
 
+void Gateway::handleQuarantineRead(std::string_view name, const std::string &bytes)
+{
+    if (name.starts_with(PoisonPromptGuard::storePrefix)) {
+        poisonPrompts_.handleStored(bytes);
+    } else {
+        poisonRequests_.handleStoredQuarantine(bytes);
+    }
+}
+
+/** Ends requests whose stages still run although they can't be sent to an engine any more. */
+void Gateway::rejectQuarantinedRequests()
+{
+    const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
+                                                                shared_.activeRequests.end());
+    for (const auto &request : requests) {
+        request->handleQuarantineChange();
+    }
+}
+
 FleetHandlers Gateway::makeFleetHandlers()
 {
     FleetHandlers handlers;
     handlers.onRelease = [this](const ReleaseMessage &message) { pieces_.serve(message); };
     handlers.onSuspect = [this](const SuspectMessage &message) { poisonRequests_.handleSuspect(message); };
+    handlers.onSuspectParts = [this](const SuspectPartsMessage &message) { poisonPrompts_.handleParts(message.parts); };
     handlers.onEndpointLeaving = [this](const EndpointLifetimeMessage &message) { notices_.handleLeaving(message); };
     handlers.onSuspectsRequested = [this](peer::PeerCallWriter writer) {
         poisonRequests_.serveSuspects(std::move(writer));
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -6,6 +6,7 @@
 #include "fleet_links.h"
 #include "fleet_state.h"
 #include "piece_service.h"
+#include "poison_prompt_guard.h"
 #include "poison_request_guard.h"
 #include "request_handler.h"
 
@@ -30,6 +31,8 @@
     void finishShutdownWhenIdle();
     void handleReadinessCheck(const net::HttpRequest &request, net::ResponseWriter writer);
     void handleStateChange();
+    void handleQuarantineRead(std::string_view name, const std::string &bytes);
+    void rejectQuarantinedRequests();
     FleetHandlers makeFleetHandlers();
 
     Context &context_;
@@ -38,6 +41,7 @@
     FleetLinks links_;
     FleetState state_;
     EndpointNotices notices_;
+    PoisonPromptGuard poisonPrompts_;
     PoisonRequestGuard poisonRequests_;
     PieceService pieces_;
     net::HttpClient client_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -48,7 +48,7 @@
     std::vector<LoadMessage> loads; ///< of the cells that it coordinates
     std::vector<RejectedRequestMessage> rejectedRequests; ///< since its last heartbeat
     bool isReadingStore = false; ///< whether it reads the store and the store responds
-    std::uint64_t suspectsDigest = 0; ///< of what it knows about requests that were in flight at several crashes
+    std::uint64_t suspectsDigest = 0; ///< of what it knows about requests and prompt parts in flight at several crashes
     double linkMbps = 0; ///< bandwidth of its link; 0: unknown
 
     LACEWING_MEMBERS(vm,
@@ -175,11 +175,42 @@
     LACEWING_MEMBERS(fingerprint, crashCount, crashes, ageMs, isCleared)
 };
 
-/** Response to a call of kind Suspects: the requests that were running at several crashes. */
+/** A crash of an endpoint that was answering requests with a prompt part. */
+struct PartCrashMessage {
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+    std::int64_t ageMs = 0; ///< time since the latest of these answers began
+
+    LACEWING_MEMBERS(endpoint, incarnation, ageMs)
+};
+
+/** A prompt part that was in flight when endpoints crashed. */
+struct SuspectPartMessage {
+    std::uint64_t part = 0;
+    std::vector<PartCrashMessage> crashes; ///< the most recent ones that no success refutes
+    bool hasSucceeded = false;
+    std::int64_t successAgeMs = 0; ///< time since the latest successful answer began; valid if there was one
+    std::int64_t longestAnswerMs = 0; ///< longest time for which an answer had been arriving at a crash
+    std::uint32_t position = 0; ///< largest position in a prompt
+    std::uint32_t trialCount = 0;
+    std::int64_t trialAgeMs = 0; ///< time since the last trial; valid if there was one
+    std::int64_t ageMs = 0; ///< time since it was updated
+
+    LACEWING_MEMBERS(
+        part, crashes, hasSucceeded, successAgeMs, longestAnswerMs, position, trialCount, trialAgeMs, ageMs)
+};
+struct SuspectPartsMessage {
+    std::vector<SuspectPartMessage> parts;
+
+    LACEWING_MEMBERS(parts)
+};
+
+/** Response to a call of kind Suspects: the requests that were running at several crashes, and quarantined parts. */
 struct SuspectsResponse {
     std::vector<SuspectMessage> suspects;
+    std::vector<SuspectPartMessage> parts;
 
-    LACEWING_MEMBERS(suspects)
+    LACEWING_MEMBERS(suspects, parts)
 };
 
 /** Asks another VM for records of a topic that this VM can't read from the store. */
@@ -222,7 +253,8 @@
     Records = 5,
     RecordsPush = 6,
     Suspects = 7,
-    EndpointLeaving = 8
+    EndpointLeaving = 8,
+    SuspectParts = 9
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -14,6 +14,11 @@
 /** Time for which it is known which request a lost piece belongs to; longer than a crash is looked for. */
 constexpr Duration lostPieceTtl = 120s;
 
+std::string storeName(Fingerprint request)
+{
+    return std::to_string(request.value());
+}
+
 /** Identifies a piece over all attempts of its request. */
 Fingerprint pieceFingerprint(const stages::PieceTask &piece)
 {
@@ -23,14 +28,13 @@
 
 } // namespace
 
-PoisonRequestGuard::PoisonRequestGuard(Context &context,
-                                       FleetLinks &links,
-                                       FleetState &state,
-                                       const EndpointNotices &notices)
+PoisonRequestGuard::PoisonRequestGuard(
+    Context &context, FleetLinks &links, FleetState &state, const EndpointNotices &notices, PoisonPromptGuard &prompts)
     : context_(context)
     , links_(links)
     , state_(state)
     , notices_(notices)
+    , prompts_(prompts)
     , crashCounter_(
           context.metrics.counter({ "endpoint_crashes", "Crashes of endpoints that ran requests of this VM" }))
     , suspectCounter_(context.metrics.counter({ "suspect_requests", "Requests in flight at a crash, once for each" }))
@@ -52,10 +56,10 @@
 }
 
 void PoisonRequestGuard::onConnectionLost(const routing::EndpointEntry &endpoint,
-                                          Fingerprint request,
+                                          dispatch::LostRequest lost,
                                           net::HttpClient &client)
 {
-    crashDetector_.onConnectionLost(endpoint.lifetime(), request, context_.now());
+    crashDetector_.onConnectionLost(endpoint.lifetime(), std::move(lost));
     checkEndpoint(endpoint, client, [] {});
 }
 
@@ -68,7 +72,10 @@
         if (piece.fingerprint != Fingerprint()) {
             const auto suspect = pieceFingerprint(piece);
             lostPieces_[suspect] = { piece.fingerprint, context_.now() };
-            pieceCrashDetector_.onConnectionLost(endpoint.lifetime(), suspect, context_.now());
+            dispatch::LostRequest lostPiece;
+            lostPiece.request = suspect;
+            lostPiece.lostAt = context_.now();
+            pieceCrashDetector_.onConnectionLost(endpoint.lifetime(), std::move(lostPiece));
         }
     }
     checkEndpoint(endpoint, client, std::move(onChecked));
@@ -103,10 +110,12 @@
     call.address = endpoint.address;
     call.connectOnly = true;
     net::HttpHandlers handlers;
-    handlers.onDone = [this, endpoint](const net::HttpEnd &end) {
+    handlers.onDone = [this, endpoint, attemptedAt = context_.now()](const net::HttpEnd &end) {
         const auto check = checkedEndpoints_.extract(endpoint.lifetime());
         if (end.error && end.error->kind == ErrorKind::Unreachable) {
             onUnreachable(endpoint);
+        } else if (!end.error) {
+            crashDetector_.onReachable(endpoint.lifetime(), attemptedAt);
         }
         for (const auto &onChecked : check.mapped()) {
             onChecked();
@@ -133,20 +142,21 @@
 }
 
 void PoisonRequestGuard::recordPieceCrash(const routing::EndpointLifetime &endpoint,
-                                          const std::vector<Fingerprint> &pieces)
+                                          const std::vector<dispatch::LostRequest> &pieces)
 {
     if (pieces.empty()) {
         return;
     }
     context_.logger.state("suspect pieces", { { "endpoint", endpoint.endpoint }, { "pieces", pieces.size() } });
-    for (const auto piece : pieces) {
+    for (const auto &lostPiece : pieces) {
+        const Fingerprint piece = lostPiece.request;
         suspectPieces_.recordCrash(piece, endpoint, context_.now());
         const auto lost = lostPieces_.find(piece);
         if (lost == lostPieces_.end() || !suspectPieces_.isQuarantined(piece, context_.now())) {
             continue;
         }
         for (const auto &crash : suspectPieces_.find(piece)->crashes) {
-            recordCrash(crash, { lost->second.request });
+            recordCrash(crash, lost->second.request);
         }
     }
 }
@@ -164,26 +174,33 @@
 }
 
 void PoisonRequestGuard::recordCrash(const routing::EndpointLifetime &endpoint,
-                                     const std::vector<Fingerprint> &requests)
+                                     const std::vector<dispatch::LostRequest> &requests)
 {
-    if (!requests.empty()) {
-        crashCounter_.add();
+    if (requests.empty()) {
+        return;
     }
-    for (const auto request : requests) {
-        if (!suspects_.recordCrash(request, endpoint, context_.now())) {
-            continue;
-        }
-        suspectCounter_.add();
-        context_.logger.state("suspect request",
-                              { { "fingerprint", request },
-                                { "endpoint", endpoint.endpoint },
-                                { "crashes", suspects_.find(request)->crashes.size() },
-                                { "quarantined", isQuarantined(request) } });
-        broadcast(request);
-        if (isQuarantined(request)) {
-            quarantineCounter_.add();
-            store(request);
-        }
+    crashCounter_.add();
+    for (const auto &lost : requests) {
+        recordCrash(endpoint, lost.request);
+    }
+    prompts_.onCrash(endpoint, requests);
+}
+
+void PoisonRequestGuard::recordCrash(const routing::EndpointLifetime &endpoint, Fingerprint request)
+{
+    if (!suspects_.recordCrash(request, endpoint, context_.now())) {
+        return;
+    }
+    suspectCounter_.add();
+    context_.logger.state("suspect request",
+                          { { "fingerprint", request },
+                            { "endpoint", endpoint.endpoint },
+                            { "crashes", suspects_.find(request)->crashes.size() },
+                            { "quarantined", isQuarantined(request) } });
+    broadcast(request);
+    if (isQuarantined(request)) {
+        quarantineCounter_.add();
+        store(request);
     }
 }
 
@@ -210,14 +227,14 @@
 void PoisonRequestGuard::store(Fingerprint request)
 {
     if (storedQuarantines_.insert(request).second) {
-        state_.storeQuarantine(toMessage(*suspects_.find(request)));
+        state_.storeQuarantine(storeName(request), wire::encode(toMessage(*suspects_.find(request))));
     }
 }
 
 /** Returns whether this VM updates the record of a request in the store on behalf of all. */
 bool PoisonRequestGuard::isResponsibleFor(Fingerprint request) const
 {
-    return links_.isResponsible("quarantine/" + std::to_string(request.value()), 1);
+    return links_.isResponsible("quarantine/" + storeName(request), 1);
 }
 
 void PoisonRequestGuard::removeEndedQuarantines()
@@ -225,7 +242,7 @@
     std::erase_if(storedQuarantines_, [this](Fingerprint request) {
         const bool hasEnded = !isQuarantined(request);
         if (hasEnded && isResponsibleFor(request)) {
-            state_.removeQuarantine(request);
+            state_.removeQuarantine(storeName(request));
         }
         return hasEnded;
     });
@@ -268,11 +285,16 @@
     }
 }
 
-void PoisonRequestGuard::handleStoredQuarantine(const SuspectMessage &message)
+void PoisonRequestGuard::handleStoredQuarantine(const std::string &bytes)
 {
-    const Fingerprint request(message.fingerprint);
+    const auto message = wire::decode<SuspectMessage>(bytes);
+    if (!message) {
+        context_.logger.warn("malformed quarantine", { { "error", message.error().detail } });
+        return;
+    }
+    const Fingerprint request(message.value().fingerprint);
     if (storedQuarantines_.insert(request).second && !isQuarantined(request)) {
-        handleSuspect(message);
+        handleSuspect(message.value());
     }
 }
 
@@ -296,6 +318,7 @@
         for (const auto &suspect : response.value().suspects) {
             handleSuspect(suspect);
         }
+        prompts_.handleParts(response.value().parts);
     };
     handlers.onFailed = [this, vm](const Error &error, bool) {
         context_.logger.warn("suspects not received", { { "vm", vm }, { "error", error.detail } });
@@ -309,13 +332,14 @@
     for (const auto &suspect : suspects_.repeatedSuspects(context_.now())) {
         response.suspects.push_back(toMessage(suspect));
     }
+    response.parts = prompts_.quarantinedParts();
     writer.write(wire::encode(response));
     writer.end();
 }
 
 std::uint64_t PoisonRequestGuard::updateDigest()
 {
-    lastDigest_ = suspects_.digest(context_.now());
+    lastDigest_ = suspects_.digest(context_.now()) ^ prompts_.digest();
     return lastDigest_;
 }
 
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -4,6 +4,7 @@
 #include "endpoint_notices.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
+#include "poison_prompt_guard.h"
 
 #include <dispatch/dispatch.h>
 #include <net/net.h>
@@ -34,14 +35,18 @@
 class PoisonRequestGuard
 {
 public:
-    PoisonRequestGuard(Context &context, FleetLinks &links, FleetState &state, const EndpointNotices &notices);
+    PoisonRequestGuard(Context &context,
+                       FleetLinks &links,
+                       FleetState &state,
+                       const EndpointNotices &notices,
+                       PoisonPromptGuard &prompts);
 
     /** Returns whether the request must not be sent to endpoints any more. */
     bool isQuarantined(Fingerprint request) const;
     /** Called when a quarantined request was not sent. */
     void onRejected(Fingerprint request);
-    /** Called when a connection is lost while the endpoint executes a request. @param client used for the endpoint */
-    void onConnectionLost(const routing::EndpointEntry &endpoint, Fingerprint request, net::HttpClient &client);
+    /** Called when a connection ends while the endpoint executes a request. @param client used for the endpoint */
+    void onConnectionLost(const routing::EndpointEntry &endpoint, dispatch::LostRequest lost, net::HttpClient &client);
     /**
      * Called when there is no response to a call that runs pieces of several requests.
      *
@@ -65,7 +70,7 @@
     /** Merges what another VM knows about a request. */
     void handleSuspect(const SuspectMessage &message);
     /** Merges a quarantine that has been read from the store. */
-    void handleStoredQuarantine(const SuspectMessage &message);
+    void handleStoredQuarantine(const std::string &bytes);
     /** Requests the suspects of another VM if they differ from those known here. */
     void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
     /** Responds to a request of another VM for the suspects known here. */
@@ -84,8 +89,9 @@
                        net::HttpClient &client,
                        std::function<void()> onChecked);
     void attemptConnection(const routing::EndpointEntry &endpoint, net::HttpClient &client);
-    void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<Fingerprint> &requests);
-    void recordPieceCrash(const routing::EndpointLifetime &endpoint, const std::vector<Fingerprint> &pieces);
+    void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<dispatch::LostRequest> &requests);
+    void recordCrash(const routing::EndpointLifetime &endpoint, Fingerprint request);
+    void recordPieceCrash(const routing::EndpointLifetime &endpoint, const std::vector<dispatch::LostRequest> &pieces);
     void broadcast(Fingerprint request);
     void store(Fingerprint request);
     void removeEndedQuarantines();
@@ -96,6 +102,7 @@
     FleetLinks &links_;
     FleetState &state_;
     const EndpointNotices &notices_;
+    PoisonPromptGuard &prompts_;
     dispatch::CrashDetector crashDetector_;
     dispatch::PoisonRequestTracker suspects_;
     dispatch::CrashDetector pieceCrashDetector_;
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -78,6 +78,7 @@
     };
     const double workMs = placement_->estimatedWorkMs(entry, results);
     shared_.prefixCache.recordUse(entry.id, facts_.promptParts, now());
+    isAnswerReported_ = false;
     attempt_ = std::make_shared<EndpointAttempt>(shared_, entry, workMs, std::move(handlers));
     attempt_->start(userplatform::makeForwardCall(request_, facts_, entry.address, facts));
 }
@@ -108,6 +109,9 @@
     if (stages_ && stages_->hasResults()) {
         stages_->releaseAll();
     }
+    if (*attempt_->timeSinceFirstByte() > dispatch::PromptPartTracker::maxCrashDelay) {
+        reportAnswer();
+    }
     forwardEvents(bytes);
 }
 
@@ -179,8 +183,11 @@
     mayHaveRun_ = true;
     if (attempt_->isAuthentic(facts_.id)) {
         closeAttempt(dispatch::SendOutcome::Answered);
+        reportAnswer();
         if (framing != net::BodyFraming::UntilClose) {
             shared_.poisonRequests.onSucceeded(fingerprint_);
+        } else {
+            reportConnectionEnd(true);
         }
         writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_, framing);
         finish(head.status, "answered");
@@ -214,10 +221,14 @@
     if (eventSplitter_.pendingBytes() > 0) {
         forwardBytes(eventSplitter_.takeRest());
     }
+    reportAnswer();
     const auto &head = attempt_->head();
     if (head.framing != net::BodyFraming::UntilClose) {
         shared_.poisonRequests.onSucceeded(fingerprint_);
-    } else if (forwardedFraming_ != net::BodyFraming::UntilClose) {
+    } else {
+        reportConnectionEnd(true);
+    }
+    if (head.framing == net::BodyFraming::UntilClose && forwardedFraming_ != net::BodyFraming::UntilClose) {
         // A resumed stream whose response began with chunks: a last chunk would vouch for an end that is not certain.
         fail(0, "end of resumed stream not certain");
         return;
@@ -271,7 +282,7 @@
               { "answering_ms",
                 attempt_->timeSinceFirstByte() ? toMilliseconds(*attempt_->timeSinceFirstByte()) : -1 } },
             now());
-        shared_.poisonRequests.onConnectionLost(attempt_->entry(), fingerprint_, shared_.client);
+        reportConnectionEnd(false);
     }
     closeAttempt(dispatch::SendOutcome::Failed);
     if (!retry(toText(end.error->kind), true)) {
@@ -279,6 +290,29 @@
     }
 }
 
+/** Reports once for each attempt that its endpoint has answered on the parts of the prompt. */
+void RequestHandler::reportAnswer()
+{
+    if (!std::exchange(isAnswerReported_, true)) {
+        const Time beganAt = now() - attempt_->timeSinceFirstByte().value_or(Duration::zero());
+        shared_.poisonPrompts.onAnswered(attempt_->entry().lifetime(), sharedParts_, beganAt);
+    }
+}
+
+/** Has the endpoint checked for a crash, which closes connections as the end of an answer may do. */
+void RequestHandler::reportConnectionEnd(bool mayBeComplete)
+{
+    dispatch::LostRequest lost;
+    lost.request = fingerprint_;
+    lost.sharedParts = sharedParts_;
+    lost.lostAt = now();
+    if (const auto time = attempt_->timeSinceFirstByte()) {
+        lost.answerBeganAt = now() - *time;
+    }
+    lost.mayBeComplete = mayBeComplete;
+    shared_.poisonRequests.onConnectionLost(attempt_->entry(), std::move(lost), shared_.client);
+}
+
 void RequestHandler::closeAttempt(dispatch::SendOutcome outcome)
 {
     if (attempt_ && attempt_->isOpen()) {
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -6,6 +6,7 @@
 #include "endpoint_notices.h"
 #include "fleet_state.h"
 #include "piece_service.h"
+#include "poison_prompt_guard.h"
 #include "poison_request_guard.h"
 
 #include <dispatch/dispatch.h>
@@ -50,6 +51,7 @@
     dispatch::LoadBalancer &loadBalancer;
     dispatch::PrefixCacheIndex &prefixCache;
     PoisonRequestGuard &poisonRequests;
+    PoisonPromptGuard &poisonPrompts;
     DecisionLog &decisionLog;
     Random &random;
     dispatch::RejectionHistory rejectionHistory;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -38,6 +38,7 @@
         return;
     }
     facts_ = std::move(facts.value());
+    sharedParts_ = dispatch::sharedParts(facts_.promptParts);
     if (!shared_.state.isLoaded()) {
         reject(net::status::unavailable, "no desired state yet", defaultRetryAfter);
         return;
@@ -124,15 +125,31 @@
     return route_->services.back().service;
 }
 
-/** Ends the request if it must not be sent, because endpoints crashed while they executed it. */
+/** Ends the request if it must not be sent, because endpoints crashed while they executed it or others like it. */
 bool RequestHandler::rejectIfQuarantined()
 {
-    if (!shared_.poisonRequests.isQuarantined(fingerprint_)) {
+    if (shared_.poisonRequests.isQuarantined(fingerprint_)) {
+        shared_.poisonRequests.onRejected(fingerprint_);
+        rejectOrFail("quarantined because endpoints crashed while running it", route_->timeout);
+        return true;
+    }
+    if (isTrial_ && attemptCount_ == 0) {
         return false;
     }
-    shared_.poisonRequests.onRejected(fingerprint_);
-    rejectOrFail("quarantined because endpoints crashed while running it", route_->timeout);
-    return true;
+    const auto permission = shared_.poisonPrompts.checkSend(sharedParts_);
+    isTrial_ = permission == PoisonPromptGuard::Permission::Trial;
+    if (permission == PoisonPromptGuard::Permission::Denied) {
+        rejectOrFail("prompt part quarantined because endpoints crashed while answering on it", route_->timeout);
+        return true;
+    }
+    return false;
+}
+
+void RequestHandler::handleQuarantineChange()
+{
+    if (phase_ == Phase::RunningStages && shared_.poisonPrompts.isQuarantined(sharedParts_)) {
+        rejectIfQuarantined();
+    }
 }
 
 void RequestHandler::rejectStages(const stages::AdmissionDecision &decision)
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -20,6 +20,8 @@
     RequestHandler(RequestContext &shared, net::HttpRequest request, net::ResponseWriter writer);
 
     void start();
+    /** Called when prompt parts have become quarantined. */
+    void handleQuarantineChange();
 
 private:
     /** Retry-after of requests that are rejected, unless an endpoint has said when it wants requests again. */
@@ -57,6 +59,8 @@
     void forwardEvents(std::string_view bytes);
     void forwardBytes(std::string_view bytes);
     bool retry(std::string_view reason, bool mayHaveRun);
+    void reportAnswer();
+    void reportConnectionEnd(bool mayBeComplete);
     /** Returns whether the stream of the latest attempt has begun an event that it has not completed. */
     bool isInsideEvent() const noexcept
     {
@@ -86,6 +90,7 @@
     const routing::KeyHolder *keyHolder_ = nullptr;
     routing::ServiceId service_;
     Fingerprint fingerprint_;
+    std::vector<dispatch::PromptPartId> sharedParts_; ///< of the prompt
     Time deadline_;
     TimerHandle deadlineTimer_;
     Phase phase_ = Phase::New;
@@ -97,6 +102,8 @@
 
     std::shared_ptr<EndpointAttempt> attempt_; ///< the latest attempt
     std::vector<EndpointId> triedEndpoints_;
+    bool isTrial_ = false; ///< sent although a prompt part is quarantined, but not retried
+    bool isAnswerReported_ = false; ///< whether the answer of the latest attempt counts for its prompt parts
     int attemptCount_ = 0; ///< attempts that may have reached an endpoint
     std::string bufferedBody_; ///< response body, unless it is streamed
     bool mayHaveRun_ = false; ///< whether an endpoint may have run the request
--- a/tools/gateway/tests/poison_prompt_test.cpp
+++ b/tools/gateway/tests/poison_prompt_test.cpp
@@ -1,7 +1,6 @@
 #include "requests.h"
 
-#include <algorithm>
-#include <map>
+#include <csignal>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -59,6 +58,11 @@
     return { { head + body }, isPoison ? Ending::Crash : (isChunked ? Ending::KeepOpen : Ending::Close) };
 }
 
+net::Headers promptHeaders(const std::string &id, std::vector<std::string> parts)
+{
+    return requestHeaders({ .id = id, .apiKey = key, .promptParts = std::move(parts) });
+}
+
 } // namespace
 
 ParameterizedTestParameters(gateway, promptPartThatCrashedFiveEndpointsReachesFewMore)
@@ -94,8 +98,7 @@
             parts = { isPoison ? poisonPart : "bbbb", own };
         }
         const auto id = (isPoison ? poisonIdPrefix : "sound") + own;
-        const auto requestHeaders = platform_standin::requestHeaders({ .id = id, .apiKey = key, .promptParts = parts });
-        return harness.sendAsync(number / 2 % vms, "POST", "/stream/x", requestHeaders, own);
+        return harness.sendAsync(number / 2 % vms, "POST", "/stream/x", promptHeaders(id, parts), own);
     };
     const auto pause = [&](Duration time) {
         const Time end = harness.loop().clock().now() + time;
@@ -128,3 +131,47 @@
                   earlyArrivals);
     cr_assert_eq(failedSound, 0U, "%s: %zu sound requests", test->name, failedSound);
 }
+
+Test(gateway, quarantinedPromptPartIsKnownToLateVmsAndOutlivesTheRestartOfAll)
+{
+    constexpr std::size_t engines = 8;
+    constexpr std::size_t lateVm = 2;
+    Harness harness(3);
+    std::size_t poisonArrivals = 0;
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        const std::string id = "g" + std::to_string(engine);
+        harness.addRawEndpoint(id, "engine", [&poisonArrivals, id](const std::string &request) {
+            poisonArrivals += request.starts_with(poisonIdPrefix) ? 1 : 0;
+            return answerTo(id, request, BodyFraming::Chunked);
+        });
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start(0, lateVm);
+    harness.waitForLinks();
+    std::size_t number = 0;
+    const auto sendPoison = [&](std::size_t vm) {
+        const auto own = std::to_string(++number);
+        return harness.sendAndWait(
+            vm, "POST", "/stream/x", promptHeaders(poisonIdPrefix + own, { "aaaa", poisonPart, own }), own);
+    };
+    for (std::size_t crash = 1; crash <= 3; ++crash) {
+        sendPoison(crash % lateVm);
+        harness.waitForLogLines({ 0, 1 }, "\"suspect prompt part\"", 2 * crash);
+    }
+    harness.waitForLogLines({ 0, 1 }, "\"prompt part quarantined\"", 2);
+    harness.start(lateVm, 1);
+    harness.waitForLogLines({ lateVm }, "\"prompt part quarantined\"", 1);
+    cr_assert_eq(sendPoison(lateVm).status, net::status::unavailable);
+    for (const std::size_t vm : { 0, 1, 2 }) {
+        harness.signal(vm, SIGKILL);
+        harness.waitFor([&] { return harness.hasEnded(vm); }, "the end of a vm");
+    }
+    harness.start();
+    for (const std::size_t vm : { 0, 1, 2 }) {
+        harness.waitForLogLines({ vm }, "\"prompt part quarantined\"", 1);
+        const auto response = sendPoison(vm);
+        cr_assert_eq(response.status, net::status::unavailable, "vm %zu: %d", vm, response.status);
+        cr_assert(findRetryAfter(response.headers).has_value());
+    }
+    cr_assert_eq(poisonArrivals, 3U, "%zu", poisonArrivals);
+}
