Gateway: a crash has one cause, a request that comes again or a part of prompts

Cause: requests and prompt parts were judged apart.

Now: crashes of a quarantined request need no part as their cause, until a crash without that request; crashes of a quarantined part are taken off all requests. Among equals the request is the cause, as it is the smaller unit. Evidence: gateway::poisonRequestDoesNotQuarantineThePartsThatItShares and soundRequestInFlightAtTheCrashesOfAPromptPartIsServedAgain failed with 503 before, and pass.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -298,6 +299,8 @@
     void recordRejection(Fingerprint request, Time now);
     /** Merges what another VM knows. @return false if it adds nothing */
     bool merge(const Suspect &suspect, Time now);
+    /** Removes crashes whose cause is known to be something else. */
+    void removeCrashes(const std::function<bool(const routing::EndpointLifetime &)> &isExplained);
 
     /** Returns whether the request must not be sent to endpoints any more. */
     bool isQuarantined(Fingerprint request, Time now) const;
@@ -368,6 +371,8 @@
     std::vector<PromptPartId> recordCrash(const routing::EndpointLifetime &endpoint,
                                           std::span<const LostRequest> requests,
                                           Time now);
+    /** Records crashes that are explained by a quarantined request, so that none of its parts has to be the cause. */
+    void recordRequestCrashes(std::span<const routing::EndpointLifetime> endpoints, Time now);
     /** Records that an answer has ended, or has been arriving for maxCrashDelay. It counts if its endpoint lives on. */
     void recordAnswer(const routing::EndpointLifetime &endpoint,
                       std::vector<PromptPartId> parts,
@@ -436,7 +441,8 @@
     std::unordered_map<PromptPartId, Time> olderSuccesses_;
     Time successesRotatedAt_;
     std::set<PromptPartId> quarantined_;
-    std::set<routing::EndpointLifetime> explainedCrashes_;
+    std::set<routing::EndpointLifetime> explainedCrashes_; ///< by quarantined parts
+    std::map<routing::EndpointLifetime, Time> requestCrashes_; ///< by quarantined requests; when that was recorded
     std::uint64_t digest_ = 0;
     bool hasChanged_ = false; ///< since the last decision
     std::optional<Time> nextDecisionAt_;
--- a/libs/dispatch/src/poison_request_tracker.cpp
+++ b/libs/dispatch/src/poison_request_tracker.cpp
@@ -96,6 +96,15 @@
     return hasChanged;
 }
 
+void PoisonRequestTracker::removeCrashes(const std::function<bool(const EndpointLifetime &)> &isExplained)
+{
+    for (auto it = suspects_.begin(); it != suspects_.end();) {
+        auto &crashes = it->second.crashes;
+        const bool isRemoved = std::erase_if(crashes, isExplained) > 0 && crashes.empty();
+        it = isRemoved ? suspects_.erase(it) : std::next(it);
+    }
+}
+
 bool PoisonRequestTracker::isQuarantined(Fingerprint request, Time now) const
 {
     const auto *suspect = find(request);
--- a/libs/dispatch/src/prompt_part_tracker.cpp
+++ b/libs/dispatch/src/prompt_part_tracker.cpp
@@ -117,6 +117,14 @@
     return { changed.begin(), changed.end() };
 }
 
+void PromptPartTracker::recordRequestCrashes(std::span<const EndpointLifetime> endpoints, Time now)
+{
+    for (const auto &endpoint : endpoints) {
+        requestCrashes_[endpoint] = now;
+    }
+    hasChanged_ = true;
+}
+
 void PromptPartTracker::recordAnswer(const EndpointLifetime &endpoint,
                                      std::vector<PromptPartId> parts,
                                      Time beganAt,
@@ -213,6 +221,9 @@
     std::sort(causes.begin(), causes.end(), isLikelierCause);
     std::set<PromptPartId> quarantined;
     std::set<EndpointLifetime> crashesWithCause;
+    for (const auto &[endpoint, recordedAt] : requestCrashes_) {
+        crashesWithCause.insert(endpoint);
+    }
     explainedCrashes_.clear();
     nextDecisionAt_.reset();
     for (const auto &[part, decisiveAt] : causes) {
@@ -304,6 +315,7 @@
         return now - part.updatedAt >= (part.crashes.empty() ? successRetention : suspectTtl);
     });
     hasChanged_ = hasChanged_ || erased > 0;
+    std::erase_if(requestCrashes_, [&](const auto &item) { return now - item.second >= suspectTtl; });
     std::erase_if(inquiries_, [&](const auto &item) { return item.second <= now; });
     if (now - successesRotatedAt_ >= successRetention) {
         olderSuccesses_ = std::exchange(recentSuccesses_, {});
--- a/libs/dispatch/tests/prompt_part_tracker_test.cpp
+++ b/libs/dispatch/tests/prompt_part_tracker_test.cpp
@@ -84,6 +84,21 @@
     cr_assert_not(isQuarantined(tracker, soundPart));
 }
 
+Test(promptPartTracker, partsOfARequestThatCrashesEndpointsByItselfAreNotSuspect)
+{
+    PromptPartTracker tracker;
+    std::vector<routing::EndpointLifetime> crashes;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        crashes.push_back(lifetime(crash));
+    }
+    tracker.recordRequestCrashes(crashes, start);
+    recordCrashes(tracker, { firstPart, soundPart }, 3, start);
+    cr_assert_not(isQuarantined(tracker, soundPart));
+    cr_assert_not(isQuarantined(tracker, firstPart));
+    recordCrashes(tracker, { firstPart, soundPart }, 1, start + 1s, 10);
+    cr_assert(isQuarantined(tracker, soundPart), "another request with the part has crashed an endpoint");
+}
+
 struct RefutationCase {
     char name[56];
     int answerBeganMs; ///< relative to the third crash
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -59,7 +59,7 @@
           [this] { handleStateChange(); },
           [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); })
     , notices_(context, links_, state_)
-    , poisonPrompts_(context, links_, state_, random_.next(), [this] { rejectQuarantinedRequests(); })
+    , poisonPrompts_(context, links_, state_, random_.next(), [this] { handlePartsQuarantined(); })
     , poisonRequests_(context, links_, state_, notices_, poisonPrompts_)
     , pieces_(context, links_, state_, notices_, poisonRequests_, random_.next())
     , client_(context.loop, endpointOptions(context))
@@ -192,9 +192,10 @@
     }
 }
 
-/** Ends requests whose stages still run although they can't be sent to an engine any more. */
-void Gateway::rejectQuarantinedRequests()
+void Gateway::handlePartsQuarantined()
 {
+    poisonRequests_.onPartsQuarantined();
+    // Requests whose stages still run can't be sent to an engine any more.
     const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
                                                                 shared_.activeRequests.end());
     for (const auto &request : requests) {
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -32,7 +32,7 @@
     void handleReadinessCheck(const net::HttpRequest &request, net::ResponseWriter writer);
     void handleStateChange();
     void handleQuarantineRead(std::string_view name, const std::string &bytes);
-    void rejectQuarantinedRequests();
+    void handlePartsQuarantined();
     FleetHandlers makeFleetHandlers();
 
     Context &context_;
--- a/tools/gateway/src/poison_prompt_guard.cpp
+++ b/tools/gateway/src/poison_prompt_guard.cpp
@@ -111,6 +111,12 @@
     update();
 }
 
+void PoisonPromptGuard::onRequestQuarantined(std::span<const routing::EndpointLifetime> endpoints)
+{
+    tracker_.recordRequestCrashes(endpoints, context_.now());
+    update();
+}
+
 void PoisonPromptGuard::handleParts(const std::vector<SuspectPartMessage> &parts)
 {
     for (const auto &part : parts) {
--- a/tools/gateway/src/poison_prompt_guard.h
+++ b/tools/gateway/src/poison_prompt_guard.h
@@ -54,6 +54,9 @@
     /** Called when an endpoint has crashed. @param requests those that were in flight */
     void onCrash(const routing::EndpointLifetime &endpoint, std::span<const dispatch::LostRequest> requests);
 
+    /** Called when a request has been quarantined. @param endpoints at whose crashes it was in flight */
+    void onRequestQuarantined(std::span<const routing::EndpointLifetime> endpoints);
+
     /** Merges what another VM knows. */
     void handleParts(const std::vector<SuspectPartMessage> &parts);
     /** Merges a quarantined part that has been read from the store. */
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -188,7 +188,7 @@
 
 void PoisonRequestGuard::recordCrash(const routing::EndpointLifetime &endpoint, Fingerprint request)
 {
-    if (!suspects_.recordCrash(request, endpoint, context_.now())) {
+    if (prompts_.isExplained(endpoint) || !suspects_.recordCrash(request, endpoint, context_.now())) {
         return;
     }
     suspectCounter_.add();
@@ -199,11 +199,23 @@
                             { "quarantined", isQuarantined(request) } });
     broadcast(request);
     if (isQuarantined(request)) {
-        quarantineCounter_.add();
+        handleQuarantine(request);
         store(request);
     }
 }
 
+/** Called when a request has become quarantined, as known to this VM. */
+void PoisonRequestGuard::handleQuarantine(Fingerprint request)
+{
+    quarantineCounter_.add();
+    prompts_.onRequestQuarantined(suspects_.find(request)->crashes);
+}
+
+void PoisonRequestGuard::onPartsQuarantined()
+{
+    suspects_.removeCrashes([this](const auto &endpoint) { return prompts_.isExplained(endpoint); });
+}
+
 void PoisonRequestGuard::onSucceeded(Fingerprint request)
 {
     if (!suspects_.recordSuccess(request, context_.now())) {
@@ -266,7 +278,10 @@
     dispatch::Suspect suspect;
     suspect.request = Fingerprint(message.fingerprint);
     for (const auto &crash : message.crashes) {
-        suspect.crashes.push_back({ EndpointId(crash.endpoint), Incarnation(crash.incarnation) });
+        const routing::EndpointLifetime endpoint { EndpointId(crash.endpoint), Incarnation(crash.incarnation) };
+        if (!prompts_.isExplained(endpoint)) {
+            suspect.crashes.push_back(endpoint);
+        }
     }
     suspect.isCleared = message.isCleared;
     suspect.updatedAt = context_.now() - std::chrono::milliseconds(std::max<std::int64_t>(message.ageMs, 0));
@@ -278,7 +293,7 @@
                           { { "fingerprint", suspect.request }, { "quarantined", !wasQuarantined } });
     // No VM may have recorded the decisive crash by itself, if several recorded one each at the same time.
     if (!wasQuarantined) {
-        quarantineCounter_.add();
+        handleQuarantine(suspect.request);
         if (isResponsibleFor(suspect.request)) {
             store(suspect.request);
         }
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -64,6 +64,8 @@
     void onPieceSucceeded(const stages::PieceTask &piece);
     /** Returns whether the piece was in several calls whose endpoints crashed. */
     bool isSuspect(const stages::PieceTask &piece) const;
+    /** Called when prompt parts have become quarantined, which explain crashes. */
+    void onPartsQuarantined();
     /** Called when the endpoint directory has changed. */
     void onEndpointsChanged();
 
@@ -92,6 +94,7 @@
     void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<dispatch::LostRequest> &requests);
     void recordCrash(const routing::EndpointLifetime &endpoint, Fingerprint request);
     void recordPieceCrash(const routing::EndpointLifetime &endpoint, const std::vector<dispatch::LostRequest> &pieces);
+    void handleQuarantine(Fingerprint request);
     void broadcast(Fingerprint request);
     void store(Fingerprint request);
     void removeEndedQuarantines();
--- a/tools/gateway/tests/poison_prompt_test.cpp
+++ b/tools/gateway/tests/poison_prompt_test.cpp
@@ -1,5 +1,6 @@
 #include "requests.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include <criterion/criterion.h>
@@ -175,3 +176,76 @@
     }
     cr_assert_eq(poisonArrivals, 3U, "%zu", poisonArrivals);
 }
+
+/** The unit of suspicion is the smallest that explains the crashes: a request that comes again, or a part of prompts.
+ */
+Test(gateway, poisonRequestDoesNotQuarantineThePartsThatItShares)
+{
+    constexpr std::size_t engines = 8;
+    Harness harness(2);
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        const std::string id = "g" + std::to_string(engine);
+        harness.addRawEndpoint(
+            id, "engine", [id](const std::string &request) { return answerTo(id, request, BodyFraming::Chunked); });
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLinks();
+    for (std::size_t crash = 1; crash <= 3; ++crash) {
+        const auto id = poisonIdPrefix + std::to_string(crash);
+        harness.sendAndWait(crash % 2, "POST", "/stream/x", promptHeaders(id, { "aaaa", "bbbb", "c1" }), "poison");
+        harness.waitForLogLines({ 0, 1 }, "\"suspect request\"", crash);
+    }
+    harness.waitForLogLines({ 0, 1 }, "\"quarantine received\"", 1);
+    for (const std::size_t vm : { 0, 1 }) {
+        const auto own = std::to_string(vm);
+        const auto again = harness.sendAndWait(
+            vm, "POST", "/stream/x", promptHeaders(poisonIdPrefix + own, { "aaaa", "bbbb", "c1" }), "poison");
+        cr_assert_eq(again.status, net::status::unavailable, "%d", again.status);
+        const auto sound = harness.sendAndWait(
+            vm, "POST", "/stream/x", promptHeaders("sound" + own, { "aaaa", "bbbb", "c2" + own }), own);
+        cr_assert_eq(sound.status, net::status::ok, "%d", sound.status);
+    }
+}
+
+Test(gateway, soundRequestInFlightAtTheCrashesOfAPromptPartIsServedAgain)
+{
+    constexpr std::size_t engines = 6;
+    constexpr std::size_t crashes = 4; // at three, the sound request explains them as well as the part does
+    Harness harness(1);
+    std::vector<Endpoint *> all;
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        all.push_back(&harness.addEndpoint("g" + std::to_string(engine), "engine", Endpoint::Behaviour::Hold));
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    const auto requestsAtEngines = [&] {
+        std::size_t count = 0;
+        for (const auto *endpoint : all) {
+            count += endpoint->receivedRequests().size();
+        }
+        return count;
+    };
+    const auto isIdle = [](const Endpoint *endpoint) { return endpoint->receivedRequests().empty(); };
+    // Copies of a sound request wait at every engine, so it is in flight at each crash.
+    for (std::size_t sent = 1; std::any_of(all.begin(), all.end(), isIdle); ++sent) {
+        const auto id = "waiting" + std::to_string(sent);
+        harness.sendAsync(0, "POST", "/stream/x", promptHeaders(id, { "aaaa", "bbbb", "own" }), "sound");
+        harness.waitFor([&] { return requestsAtEngines() >= sent; }, "the arrival of a request");
+    }
+    for (auto *endpoint : all) {
+        endpoint->setBehaviour(Endpoint::Behaviour::Crash);
+    }
+    for (std::size_t crash = 1; crash <= crashes; ++crash) {
+        const auto own = std::to_string(crash);
+        harness.sendAndWait(
+            0, "POST", "/stream/x", promptHeaders(poisonIdPrefix + own, { "aaaa", poisonPart, own }), own);
+        harness.waitForLogLines({ 0 }, "\"suspect prompt part\"", 3 * crash);
+    }
+    for (auto *endpoint : all) {
+        endpoint->setBehaviour(Endpoint::Behaviour::Stream);
+    }
+    const auto response =
+        harness.sendAndWait(0, "POST", "/stream/x", promptHeaders("again", { "aaaa", "bbbb", "own" }), "sound");
+    cr_assert_eq(response.status, net::status::ok, "%d", response.status);
+}
