Gateway: among equals, the part whose answers had begun is the cause of a crash

A crash comes once the answer has begun, so the last criterion among equals is now at how many crashes one had. It comes after the position, as the parts before the deadly one are in its answers too.

--- a/libs/dispatch/src/prompt_part_tracker.cpp
+++ b/libs/dispatch/src/prompt_part_tracker.cpp
@@ -61,7 +61,14 @@
     Time decisiveAt; ///< time of the crash with which there were enough
 };
 
-/** Orders causes by how likely they are the cause of their crashes, the likeliest first. */
+/** Returns the number of crashes at which an answer with the part had begun. */
+std::int64_t countAnswers(const SuspectPart &part)
+{
+    return std::count_if(
+        part.crashes.begin(), part.crashes.end(), [](const PartCrash &crash) { return crash.hadAnswer; });
+}
+
+/** Orders possible causes by how likely they are the cause of their crashes, the likeliest first. */
 bool isLikelierCause(const PossibleCause &a, const PossibleCause &b)
 {
     const auto key = [](const PossibleCause &cause) {
@@ -70,6 +77,7 @@
                           part.longestAnswer / answerTimeResolution,
                           -static_cast<std::int64_t>(part.crashes.size()),
                           -std::int64_t(part.position),
+                          -countAnswers(part),
                           part.part);
     };
     return key(a) < key(b);
@@ -107,7 +115,9 @@
             SuspectPart &part = findOrAdd(request.sharedParts[position]);
             part.position = std::max(part.position, position);
             part.longestAnswer = std::max(part.longestAnswer, answerTime);
-            if (addCrash(part, { endpoint, request.answerBeganAt.value_or(request.lostAt) })) {
+            if (addCrash(
+                    part,
+                    { endpoint, request.answerBeganAt.value_or(request.lostAt), request.answerBeganAt.has_value() })) {
                 part.updatedAt = now;
                 changed.insert(part.part);
             }
@@ -365,6 +375,7 @@
         crashes.begin(), crashes.end(), crash, [](const auto &a, const auto &b) { return a.endpoint < b.endpoint; });
     if (place != crashes.end() && place->endpoint == crash.endpoint) {
         place->at = std::max(place->at, crash.at);
+        place->hadAnswer = place->hadAnswer || crash.hadAnswer;
         return false;
     }
     if (crashes.size() >= maxCrashesPerPart) {
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -180,8 +180,9 @@
     std::string endpoint;
     std::uint64_t incarnation = 0;
     std::int64_t ageMs = 0; ///< time since the latest of these answers began
+    bool hadAnswer = false; ///< whether one had begun
 
-    LACEWING_MEMBERS(endpoint, incarnation, ageMs)
+    LACEWING_MEMBERS(endpoint, incarnation, ageMs, hadAnswer)
 };
 
 /** A prompt part that was in flight when endpoints crashed. */
--- a/tools/gateway/src/poison_prompt_guard.cpp
+++ b/tools/gateway/src/poison_prompt_guard.cpp
@@ -131,8 +131,9 @@
     dispatch::SuspectPart part;
     part.part = PromptPartId(message.part);
     for (const auto &crash : message.crashes) {
-        part.crashes.push_back(
-            { { EndpointId(crash.endpoint), Incarnation(crash.incarnation) }, timeOf(crash.ageMs, now) });
+        part.crashes.push_back({ { EndpointId(crash.endpoint), Incarnation(crash.incarnation) },
+                                 timeOf(crash.ageMs, now),
+                                 crash.hadAnswer });
     }
     if (message.hasSucceeded) {
         part.lastSuccessAt = timeOf(message.successAgeMs, now);
@@ -304,8 +305,10 @@
     SuspectPartMessage message;
     message.part = part.part.value();
     for (const auto &crash : crashes) {
-        message.crashes.push_back(
-            { crash.endpoint.endpoint.text(), crash.endpoint.incarnation.value(), ageMs(now, crash.at) });
+        message.crashes.push_back({ crash.endpoint.endpoint.text(),
+                                    crash.endpoint.incarnation.value(),
+                                    ageMs(now, crash.at),
+                                    crash.hadAnswer });
     }
     message.hasSucceeded = part.lastSuccessAt.has_value();
     message.successAgeMs = part.lastSuccessAt ? ageMs(now, *part.lastSuccessAt) : 0;
