Gateway: log the rate limits that endpoints name

Negative numbers, text, nan, infinity, out of range and two headers are unusable. No decision uses it.

--- a/tools/gateway/src/endpoint_notices.cpp
+++ b/tools/gateway/src/endpoint_notices.cpp
@@ -30,6 +30,16 @@
             }
         }
     }
+    if (response.hasUnusableRateLimit) {
+        decisionLog_.write("rate limit ignored",
+                           { { "endpoint", lifetime.endpoint }, { "reason", "not one number of at least 0" } },
+                           now);
+    }
+    if (response.rateLimit) {
+        decisionLog_.write("endpoint names a rate limit",
+                           { { "endpoint", lifetime.endpoint }, { "per_second", *response.rateLimit } },
+                           now);
+    }
     if (response.hasUnusableQuietTime) {
         decisionLog_.write(
             "retry-after ignored", { { "endpoint", lifetime.endpoint }, { "reason", "no number of seconds" } }, now);
