Gateway: rate limits that endpoints name hold for all VMs together

What callers and endpoints saw: an engine that had named 1 request a second went on to get 3 to 4, as much as before.

The class: a limit of the whole fleet without any mechanism that counts for the fleet; the other such limits (retries, connections) are divided among the VMs, which this one can't be, as a share is far below one request.

Now: SharedRateLimits (no I/O), a token bucket that all VMs keep alike by reporting their sends; checked when an endpoint is chosen, at calls for pieces and at releases; taken before the first stage where all engines have limits.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -48,6 +48,75 @@
     std::map<routing::EndpointLifetime, Time> periods_; ///< end of each
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Rate limits
+
+/** What one VM knows and has done about the rate limit of an endpoint. */
+struct RateLimitUse {
+    routing::EndpointLifetime endpoint;
+    std::optional<double> perSecond; ///< requests that the endpoint takes from all VMs; empty: any number
+    Time statedAt; ///< when the endpoint said so
+    std::uint64_t sendCount = 0; ///< requests that the VM has sent under limits of this endpoint, in all
+};
+
+/**
+ * Keeps rate limits that endpoints name for all VMs together.
+ *
+ * A limit may be far below one request a second for each VM, and the VMs' demand differs. So the limit is not divided:
+ * every VM keeps the same token bucket, and deducts its own sends and those that others report. Two VMs may take the
+ * same token within the delay of a message; the bucket goes below zero then, so the rate holds on average. Reports
+ * carry the count of all sends, so one that is lost is made up for by the next.
+ *
+ * VMs that can't hear the others use the part of the limits that corresponds to their number, as both sides of a
+ * partition may send.
+ */
+class SharedRateLimits
+{
+public:
+    /**
+     * Takes what an answer says.
+     *
+     * @param limit empty if the answer names none
+     * @param sentAt when the request was sent; its answer may be older than what is known
+     * @return whether the limit has changed
+     */
+    bool recordAnswer(const routing::EndpointLifetime &endpoint, std::optional<double> limit, Time sentAt, Time now);
+    /** Records that a request is sent. @return whether the other VMs have to be told */
+    bool recordSend(const routing::EndpointLifetime &endpoint, Time now);
+    /** Merges the report of another VM. @return whether the limit has changed */
+    bool merge(const VmId &vm, Incarnation incarnation, const RateLimitUse &use, Time now);
+    /** Sets the number of VMs that this one can hear, itself included, and of those that may send. */
+    void setVmCounts(std::size_t heard, std::size_t all, Time now);
+
+    /** Returns when the next request may be sent; empty if one may be sent now. */
+    std::optional<Time> blockedUntil(const routing::EndpointLifetime &endpoint, Time now) const;
+    /** Returns the limit that an endpoint has named; empty if it takes any number of requests. */
+    std::optional<double> limit(const routing::EndpointLifetime &endpoint) const;
+    /** Returns this VM's report on all endpoints that have named limits, and on those that no longer do. */
+    std::vector<RateLimitUse> uses() const;
+    /** Removes lifetimes that have ended, and limits that ended long ago. */
+    void expire(const routing::EndpointDirectory &directory, Time now);
+
+private:
+    struct Limit {
+        std::optional<double> perSecond;
+        Time statedAt;
+        double tokens = 0; ///< as of tokensAt; negative if more was sent than allowed
+        Time tokensAt;
+        std::uint64_t sendCount = 0;
+        std::map<std::pair<VmId, Incarnation>, std::uint64_t> reportedCounts; ///< of other VMs
+    };
+
+    double rate(const Limit &limit) const noexcept;
+    double tokens(const Limit &limit, Time now) const noexcept;
+    void takeTokens(Limit &limit, double count, Time now) const;
+    bool set(Limit &limit, std::optional<double> perSecond, Time statedAt, Time now) const;
+
+    std::map<routing::EndpointLifetime, Limit> limits_;
+    std::size_t heardVms_ = 1;
+    std::size_t allVms_ = 1;
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Retries
 
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -166,13 +166,17 @@
         requeue(call);
         return;
     }
-    if (const auto quietUntil = shared_.notices.quietUntil(entry->lifetime())) {
-        // Another cell's call to it was turned away.
+    if (const auto blockedUntil = shared_.notices.blockedUntil(entry->lifetime())) {
+        // Another cell's call to it was turned away, or used its rate limit.
         scheduler_.recordCallEnd(call.endpoint, stages::CallOutcome::Rejected, 0, now());
-        scheduler_.backOff(call.endpoint, *quietUntil);
+        scheduler_.backOff(call.endpoint, *blockedUntil);
         requeue(call);
         return;
     }
+    shared_.notices.onSend(entry->lifetime());
+    if (const auto blockedUntil = shared_.notices.blockedUntil(entry->lifetime())) {
+        scheduler_.backOff(call.endpoint, *blockedUntil);
+    }
     shared_.callCounter.add();
     shared_.pieceCounter.add(double(call.pieces.size()));
     shared_.fullnessHistogram.observe(double(call.pieces.size()) / double(traits_.maxPiecesPerCall));
@@ -188,7 +192,7 @@
                                            handleCallEnd(inFlight.mapped(), end, response);
                                        }
                                    });
-    inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle });
+    inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle, now() });
 }
 
 /** Removes the pieces of quarantined requests from a call, and reports them as failed. */
@@ -235,7 +239,8 @@
 {
     const auto &call = inFlight.call;
     if (end.headReceived) {
-        shared_.notices.handleResponse(inFlight.entry, userplatform::parseResponseMetadata(response.head));
+        shared_.notices.handleResponse(
+            inFlight.entry, userplatform::parseResponseMetadata(response.head), inFlight.sentAt);
     }
     const bool isResponseValid = !end.error && response.head.status == net::status::ok;
     const auto pieceResponses = userplatform::parsePiecesResponse(response.body, call.pieces.size());
@@ -294,8 +299,8 @@
     const bool isRejected = !end.error && metadata.notRun;
     scheduler_.recordCallEnd(
         call.endpoint, isRejected ? stages::CallOutcome::Rejected : stages::CallOutcome::Lost, 0, now());
-    if (const auto quietUntil = shared_.notices.quietUntil(inFlight.entry.lifetime())) {
-        scheduler_.backOff(call.endpoint, *quietUntil);
+    if (const auto blockedUntil = shared_.notices.blockedUntil(inFlight.entry.lifetime())) {
+        scheduler_.backOff(call.endpoint, *blockedUntil);
     }
     if (isUnreachable) {
         scheduler_.recordUnreachable(call.endpoint, now() + unreachableBackoff, now());
@@ -362,16 +367,17 @@
         if (entry == nullptr) {
             continue; // the endpoint is gone, and its results with it
         }
-        if (const auto quietUntil = shared_.notices.quietUntil(entry->lifetime())) {
-            firstReturn = std::min(firstReturn.value_or(*quietUntil), *quietUntil);
+        if (const auto blockedUntil = shared_.notices.blockedUntil(entry->lifetime())) {
+            firstReturn = std::min(firstReturn.value_or(*blockedUntil), *blockedUntil);
             pendingReleases_[endpoint] = std::move(handles);
             continue;
         }
         const net::HttpLimits limits { connectTimeout, releaseTimeout / 2, releaseTimeout / 2, releaseTimeout };
         net::HttpHandlers handlers;
-        handlers.onHead = [this, endpoint = *entry](const net::HttpHead &head) {
-            shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head));
+        handlers.onHead = [this, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
+            shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
         };
+        shared_.notices.onSend(entry->lifetime());
         shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
     }
     if (firstReturn) {
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -79,6 +79,7 @@
         stages::BatchCall call;
         routing::EndpointEntry entry; ///< the endpoint's registration when the call was sent
         net::HttpCallHandle handle;
+        Time sentAt;
     };
 
     void scheduleRun(Duration wait);
--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -88,7 +88,7 @@
     if (facts_.load) {
         shared_.loadBalancer.onLoadReported(endpoint_.id, *facts_.load, shared_.context.now());
     }
-    shared_.notices.handleResponse(endpoint_, facts_);
+    shared_.notices.handleResponse(endpoint_, facts_, startedAt_);
     if (facts_.isMisdirected) {
         shared_.state.endpoints().exclude(endpoint_.id);
     }
--- a/tools/gateway/src/endpoint_notices.cpp
+++ b/tools/gateway/src/endpoint_notices.cpp
@@ -2,6 +2,13 @@
 
 namespace lacewing::gateway
 {
+namespace
+{
+
+/** Minimum interval between two reports of the sends under rate limits. */
+constexpr Duration minReportInterval = 20ms;
+
+} // namespace
 
 EndpointNotices::EndpointNotices(Context &context, FleetLinks &links, FleetState &state)
     : context_(context)
@@ -11,11 +18,14 @@
     , leavingCounter_(
           context.metrics.counter({ "endpoints_leaving", "Endpoints that told this VM first that they leave" }))
     , quietCounter_(context.metrics.counter({ "quiet_periods", "Answers with a time in which to send nothing" }))
+    , rateLimitCounter_(context.metrics.counter(
+          { "rate_limits", "Rate limits of endpoints that were named, changed or ended, as known to this VM" }))
 {
 }
 
 void EndpointNotices::handleResponse(const routing::EndpointEntry &endpoint,
-                                     const userplatform::ResponseMetadata &response)
+                                     const userplatform::ResponseMetadata &response,
+                                     Time sentAt)
 {
     const auto lifetime = endpoint.lifetime();
     const Time now = context_.now();
@@ -34,11 +44,13 @@
         decisionLog_.write("rate limit ignored",
                            { { "endpoint", lifetime.endpoint }, { "reason", "not one number of at least 0" } },
                            now);
-    }
-    if (response.rateLimit) {
-        decisionLog_.write("endpoint names a rate limit",
-                           { { "endpoint", lifetime.endpoint }, { "per_second", *response.rateLimit } },
-                           now);
+    } else if (rateLimits_.recordAnswer(lifetime, response.rateLimit, sentAt, now)) {
+        rateLimitCounter_.add();
+        context_.logger.state("rate limit changed",
+                              { { "endpoint", lifetime.endpoint },
+                                { "per_second", response.rateLimit.value_or(-1) },
+                                { "source", "endpoint" } });
+        reportRateLimits();
     }
     if (response.hasUnusableQuietTime) {
         decisionLog_.write(
@@ -63,14 +75,120 @@
     return quietPeriods_.until(endpoint, context_.now());
 }
 
+std::optional<Time> EndpointNotices::blockedUntil(const routing::EndpointLifetime &endpoint) const
+{
+    const auto quiet = quietUntil(endpoint);
+    const auto limited = rateLimits_.blockedUntil(endpoint, context_.now());
+    return quiet && limited ? std::max(quiet, limited) : (quiet ? quiet : limited);
+}
+
 std::optional<Time> EndpointNotices::earliestReturn(const routing::ServiceId &service) const
 {
-    return quietPeriods_.earliestEnd(state_.endpoints().availableEndpoints(service), context_.now());
+    std::optional<Time> earliest;
+    for (const auto *endpoint : state_.endpoints().availableEndpoints(service)) {
+        const auto until = blockedUntil(endpoint->lifetime());
+        if (!until) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(*until), *until);
+    }
+    return earliest;
+}
+
+std::optional<routing::EndpointLifetime> EndpointNotices::reserve(const routing::ServiceId &service)
+{
+    const routing::EndpointEntry *free = nullptr;
+    for (const auto *endpoint : state_.endpoints().availableEndpoints(service)) {
+        if (!rateLimits_.limit(endpoint->lifetime())) {
+            return std::nullopt;
+        }
+        if (free == nullptr && !blockedUntil(endpoint->lifetime())) {
+            free = endpoint;
+        }
+    }
+    if (free == nullptr) {
+        return std::nullopt;
+    }
+    onSend(free->lifetime());
+    return free->lifetime();
+}
+
+void EndpointNotices::onSend(const routing::EndpointLifetime &endpoint)
+{
+    if (rateLimits_.recordSend(endpoint, context_.now())) {
+        reportRateLimits();
+    }
+}
+
+/** Reports limits and sends to all VMs, at once or when the last report is old enough. */
+void EndpointNotices::reportRateLimits()
+{
+    const Time now = context_.now();
+    if (isReportDue_) {
+        return;
+    }
+    if (reportedAt_ && now - *reportedAt_ < minReportInterval) {
+        isReportDue_ = true;
+        context_.loop.timers().once(*reportedAt_ + minReportInterval, [this](Time) {
+            isReportDue_ = false;
+            reportRateLimits();
+        });
+        return;
+    }
+    reportedAt_ = now;
+    links_.broadcast(encodeMessage(MessageKind::RateLimits, rateLimitsMessage()));
+}
+
+RateLimitsMessage EndpointNotices::rateLimitsMessage() const
+{
+    const Time now = context_.now();
+    RateLimitsMessage message { context_.settings.vm.text(), context_.incarnation.value(), {} };
+    for (const auto &use : rateLimits_.uses()) {
+        message.limits.push_back({ use.endpoint.endpoint.text(),
+                                   use.endpoint.incarnation.value(),
+                                   use.perSecond.has_value(),
+                                   use.perSecond.value_or(0),
+                                   toMilliseconds(now - use.statedAt),
+                                   use.sendCount });
+    }
+    return message;
+}
+
+std::vector<RateLimitMessage> EndpointNotices::updateRateLimits()
+{
+    const Time now = context_.now();
+    const std::size_t heard = links_.expectedCount();
+    fleetSize_.update(heard, now);
+    rateLimits_.setVmCounts(heard, fleetSize_.value(), now);
+    return rateLimitsMessage().limits;
+}
+
+void EndpointNotices::handleRateLimits(const RateLimitsMessage &message)
+{
+    const Time now = context_.now();
+    for (const auto &limit : message.limits) {
+        dispatch::RateLimitUse use;
+        use.endpoint = { EndpointId(limit.endpoint), Incarnation(limit.incarnation) };
+        use.perSecond = limit.isLimited ? std::optional(limit.perSecond) : std::nullopt;
+        use.statedAt = now - std::chrono::milliseconds(std::max<std::int64_t>(limit.ageMs, 0));
+        use.sendCount = limit.sendCount;
+        if (state_.endpoints().hasEnded(use.endpoint)) {
+            continue;
+        }
+        if (rateLimits_.merge(VmId(message.vm), Incarnation(message.incarnation), use, now)) {
+            rateLimitCounter_.add();
+            context_.logger.state("rate limit changed",
+                                  { { "endpoint", use.endpoint.endpoint },
+                                    { "per_second", use.perSecond.value_or(-1) },
+                                    { "source", message.vm } });
+        }
+    }
 }
 
 void EndpointNotices::expire(Time now)
 {
     quietPeriods_.expire(now);
+    rateLimits_.expire(state_.endpoints(), now);
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/endpoint_notices.h
+++ b/tools/gateway/src/endpoint_notices.h
@@ -13,34 +13,60 @@
 {
 
 /**
- * What endpoints say about themselves in their answers: that they leave, or that they want no requests for a time.
+ * What endpoints say about themselves in their answers: that they leave, that they want no requests for a time, or how
+ * many requests they take a second.
  *
  * An endpoint that leaves gets nothing new from this VM for the rest of its lifetime; the other VMs of the zone are
- * told. A quiet period holds for this VM only.
+ * told. A quiet period holds for this VM only. A rate limit holds for all VMs together; they tell each other of it and
+ * of their sends.
  */
 class EndpointNotices
 {
 public:
     EndpointNotices(Context &context, FleetLinks &links, FleetState &state);
 
-    /** Takes the head of any answer of an endpoint. */
-    void handleResponse(const routing::EndpointEntry &endpoint, const userplatform::ResponseMetadata &response);
+    /** Takes the head of any answer of an endpoint. @param sentAt when the request was sent */
+    void handleResponse(const routing::EndpointEntry &endpoint,
+                        const userplatform::ResponseMetadata &response,
+                        Time sentAt);
+    /** Called when a request of any kind is sent to an endpoint. */
+    void onSend(const routing::EndpointLifetime &endpoint);
     /** Takes what an endpoint has told another VM. */
     void handleLeaving(const EndpointLifetimeMessage &message);
-    /** Returns until when nothing may be sent to an endpoint; empty if it wants requests. */
+    /** Takes the limits and sends that another VM reports. */
+    void handleRateLimits(const RateLimitsMessage &message);
+    /** Returns this VM's report, for its heartbeats. Updates for how many VMs the limits are. */
+    std::vector<RateLimitMessage> updateRateLimits();
+    /** Returns until when an endpoint wants nothing, connections included; empty if it wants requests. */
     std::optional<Time> quietUntil(const routing::EndpointLifetime &endpoint) const;
-    /** Returns when the first endpoint of a service wants requests again; empty if one wants them now. */
+    /** Returns until when no request may be sent to an endpoint; empty if one may be sent now. */
+    std::optional<Time> blockedUntil(const routing::EndpointLifetime &endpoint) const;
+    /** Returns when the first endpoint of a service may get requests again; empty if one may get them now. */
     std::optional<Time> earliestReturn(const routing::ServiceId &service) const;
+    /**
+     * Takes the place of a request that will be sent later, if all endpoints of a service have rate limits.
+     *
+     * @return the endpoint that expects the request; empty if no place has to be taken, or if there is none
+     */
+    std::optional<routing::EndpointLifetime> reserve(const routing::ServiceId &service);
     void expire(Time now);
 
 private:
+    void reportRateLimits();
+    RateLimitsMessage rateLimitsMessage() const;
+
     Context &context_;
     FleetLinks &links_;
     FleetState &state_;
     dispatch::QuietPeriods quietPeriods_;
+    dispatch::SharedRateLimits rateLimits_;
+    dispatch::FleetSizeEstimate fleetSize_;
+    std::optional<Time> reportedAt_; ///< when the rate limits were last reported to all VMs
+    bool isReportDue_ = false; ///< a report is scheduled
     DecisionLog decisionLog_;
     telemetry::Counter leavingCounter_;
     telemetry::Counter quietCounter_;
+    telemetry::Counter rateLimitCounter_;
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -281,6 +281,9 @@
     case MessageKind::Suspect:
         deliver(handlers_.onSuspect);
         break;
+    case MessageKind::RateLimits:
+        deliver(handlers_.onRateLimits);
+        break;
     case MessageKind::SuspectParts:
         deliver(handlers_.onSuspectParts);
         break;
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -28,6 +28,7 @@
     std::function<void(const ReleaseMessage &)> onRelease;
     std::function<void(const SuspectMessage &)> onSuspect;
     std::function<void(const SuspectPartsMessage &)> onSuspectParts;
+    std::function<void(const RateLimitsMessage &)> onRateLimits;
     std::function<void(const EndpointLifetimeMessage &)> onEndpointLeaving;
     std::function<void(const VmId &from, const RecordsPush &)> onRecordsPushed;
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -209,6 +209,7 @@
     handlers.onRelease = [this](const ReleaseMessage &message) { pieces_.serve(message); };
     handlers.onSuspect = [this](const SuspectMessage &message) { poisonRequests_.handleSuspect(message); };
     handlers.onSuspectParts = [this](const SuspectPartsMessage &message) { poisonPrompts_.handleParts(message.parts); };
+    handlers.onRateLimits = [this](const RateLimitsMessage &message) { notices_.handleRateLimits(message); };
     handlers.onEndpointLeaving = [this](const EndpointLifetimeMessage &message) { notices_.handleLeaving(message); };
     handlers.onSuspectsRequested = [this](peer::PeerCallWriter writer) {
         poisonRequests_.serveSuspects(std::move(writer));
@@ -226,6 +227,7 @@
         state_.handleHeartbeat(vm, heartbeat);
         poisonRequests_.handleHeartbeat(vm, heartbeat);
         pieces_.handleLoads(vm, heartbeat.loads);
+        notices_.handleRateLimits({ heartbeat.vm, heartbeat.incarnation, heartbeat.rateLimits });
         std::vector<dispatch::Rejection> rejections;
         for (const auto &message : heartbeat.rejectedRequests) {
             rejections.push_back({ Fingerprint(message.fingerprint),
@@ -236,6 +238,7 @@
     handlers.fillHeartbeat = [this](Heartbeat &heartbeat) {
         heartbeat.loads = pieces_.localLoads();
         heartbeat.suspectsDigest = poisonRequests_.updateDigest();
+        heartbeat.rateLimits = notices_.updateRateLimits();
         heartbeat.rejectedRequests.clear();
         for (const auto &rejection : shared_.rejectionHistory.takeUnpublished()) {
             heartbeat.rejectedRequests.push_back(
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -33,6 +33,25 @@
     LACEWING_MEMBERS(fingerprint, sinceFirstAttemptMs)
 };
 
+/** The rate limit of an endpoint as a VM knows it, and what the VM has sent under it. */
+struct RateLimitMessage {
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+    bool isLimited = false; ///< else the endpoint takes any number of requests again
+    double perSecond = 0; ///< requests from all VMs together; valid if it is limited
+    std::int64_t ageMs = 0; ///< time since the endpoint said so
+    std::uint64_t sendCount = 0; ///< requests that the VM has sent under limits of the endpoint since the VM's start
+
+    LACEWING_MEMBERS(endpoint, incarnation, isLimited, perSecond, ageMs, sendCount)
+};
+struct RateLimitsMessage {
+    std::string vm;
+    std::uint64_t incarnation = 0; ///< of the VM
+    std::vector<RateLimitMessage> limits;
+
+    LACEWING_MEMBERS(vm, incarnation, limits)
+};
+
 /** Sent periodically by each VM to the others: reports that it is alive, and how up to date its view is. */
 struct Heartbeat {
     std::string vm;
@@ -50,6 +69,7 @@
     bool isReadingStore = false; ///< whether it reads the store and the store responds
     std::uint64_t suspectsDigest = 0; ///< of what it knows about requests and prompt parts in flight at several crashes
     double linkMbps = 0; ///< bandwidth of its link; 0: unknown
+    std::vector<RateLimitMessage> rateLimits; ///< that it knows
 
     LACEWING_MEMBERS(vm,
                      zone,
@@ -65,7 +85,8 @@
                      rejectedRequests,
                      isReadingStore,
                      suspectsDigest,
-                     linkMbps)
+                     linkMbps,
+                     rateLimits)
 };
 
 /** One piece in a call to the VM that coordinates the piece's cell. */
@@ -255,7 +276,8 @@
     RecordsPush = 6,
     Suspects = 7,
     EndpointLeaving = 8,
-    SuspectParts = 9
+    SuspectParts = 9,
+    RateLimits = 10
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -30,7 +30,8 @@
     }
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
-    const auto *entry = placement_->choose(triedEndpoints_, service != nullptr ? service->maxConnections : 0, results);
+    const std::size_t maxConnections = service != nullptr ? service->maxConnections : 0;
+    const auto *entry = placement_->choose(triedEndpoints_, maxConnections, reservedEndpoint_, results);
     if (entry == nullptr) {
         rejectOrFail("no endpoint available", retryAfterTime());
         return;
@@ -77,6 +78,11 @@
         }
     };
     const double workMs = placement_->estimatedWorkMs(entry, results);
+    if (reservedEndpoint_ == entry.lifetime()) {
+        reservedEndpoint_.reset();
+    } else {
+        shared_.notices.onSend(entry.lifetime());
+    }
     shared_.prefixCache.recordUse(entry.id, facts_.promptParts, now());
     isAnswerReported_ = false;
     attempt_ = std::make_shared<EndpointAttempt>(shared_, entry, workMs, std::move(handlers));
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -56,10 +56,10 @@
     placement_.emplace(shared_, facts_, service_);
     const bool hasStages = std::any_of(
         facts_.pieceCounts.begin(), facts_.pieceCounts.end(), [](std::uint32_t count) { return count > 0; });
-    if (hasStages && !route_->stages.empty()) {
-        startStages();
-    } else {
+    if (!hasStages || route_->stages.empty()) {
         dispatch();
+    } else if (!rejectIfEnginesBlocked()) {
+        startStages();
     }
 }
 
@@ -170,6 +170,17 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Stages
 
+/** Ends a request for whose results no engine has a place. Takes a place if places are few. */
+bool RequestHandler::rejectIfEnginesBlocked()
+{
+    if (shared_.notices.earliestReturn(service_)) {
+        rejectOrFail("all endpoints at their limits", retryAfterTime());
+        return true;
+    }
+    reservedEndpoint_ = shared_.notices.reserve(service_);
+    return false;
+}
+
 void RequestHandler::startStages()
 {
     phase_ = Phase::RunningStages;
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -39,6 +39,7 @@
     void rejectStages(const stages::AdmissionDecision &decision);
 
     // Stages
+    bool rejectIfEnginesBlocked();
     void startStages();
     void rerunFinalStages();
     double computeRelativeSize();
@@ -102,6 +103,7 @@
 
     std::shared_ptr<EndpointAttempt> attempt_; ///< the latest attempt
     std::vector<EndpointId> triedEndpoints_;
+    std::optional<routing::EndpointLifetime> reservedEndpoint_; ///< expects the request within its rate limit
     bool isTrial_ = false; ///< sent although a prompt part is quarantined, but not retried
     bool isAnswerReported_ = false; ///< whether the answer of the latest attempt counts for its prompt parts
     int attemptCount_ = 0; ///< attempts that may have reached an endpoint
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -38,7 +38,7 @@
     for (const auto *entry : shared_.state.endpoints().availableEndpoints(service_)) {
         const std::uint64_t rank = hashBytes(entry->id.text(), session);
         if (rank >= best && !shared_.loadBalancer.isEjected(entry->id, shared_.context.now())
-            && !shared_.notices.quietUntil(entry->lifetime())) {
+            && !shared_.notices.blockedUntil(entry->lifetime())) {
             best = rank;
             sessionEngine_ = entry->id;
         }
@@ -60,6 +60,7 @@
 
 const routing::EndpointEntry *RequestPlacement::choose(const std::vector<EndpointId> &triedEndpoints,
                                                        std::size_t maxConnections,
+                                                       const std::optional<routing::EndpointLifetime> &reserved,
                                                        const ResultBytes &results) const
 {
     const std::size_t connectionsPerVm = std::max(maxConnections / shared_.vmCount(), minConnectionsPerVm);
@@ -70,7 +71,10 @@
         const bool wasTried =
             std::find(triedEndpoints.begin(), triedEndpoints.end(), entry->id) != triedEndpoints.end();
         const bool isFull = maxConnections > 0 && shared_.loadBalancer.inFlight(entry->id) >= connectionsPerVm;
-        if (wasTried || isFull || shared_.notices.quietUntil(entry->lifetime())) {
+        const bool isBlocked = entry->lifetime() == reserved
+            ? shared_.notices.quietUntil(*reserved).has_value()
+            : shared_.notices.blockedUntil(entry->lifetime()).has_value();
+        if (wasTried || isFull || isBlocked) {
             continue;
         }
         const auto [zone, isFirstLookup] = reachableZones.try_emplace(entry->zone);
--- a/tools/gateway/src/request_placement.h
+++ b/tools/gateway/src/request_placement.h
@@ -3,6 +3,7 @@
 #include "request_context.h"
 #include "request_stages.h"
 
+#include <optional>
 #include <vector>
 
 namespace lacewing::gateway
@@ -29,9 +30,11 @@
      * Returns the best endpoint that has not been tried; null if there is none.
      *
      * @param maxConnections limit for each endpoint over all VMs; 0 if unknown
+     * @param reserved an endpoint that expects the request, whatever its rate limit
      */
     const routing::EndpointEntry *choose(const std::vector<EndpointId> &triedEndpoints,
                                          std::size_t maxConnections,
+                                         const std::optional<routing::EndpointLifetime> &reserved,
                                          const ResultBytes &results) const;
     /** Returns the work that the request adds at an endpoint, in ms: reading the prompt and transferring the results.
      */
--- a/tools/gateway/tests/rate_limit_test.cpp
+++ b/tools/gateway/tests/rate_limit_test.cpp
@@ -105,3 +105,65 @@
         }
     }
 }
+
+namespace
+{
+
+struct AllLimitedCase {
+    char service[16];
+    char target[16];
+};
+
+AllLimitedCase allLimitedCases[] = { { "plain", "/safe/x" }, { "engine", "/stream/x" }, { "engine", "/staged/x" } };
+
+} // namespace
+
+ParameterizedTestParameters(rateLimit, whatDoesNotFitIsRefusedAtOnce)
+{
+    return cr_make_param_array(AllLimitedCase, allLimitedCases, std::size(allLimitedCases));
+}
+
+ParameterizedTest(AllLimitedCase *test, rateLimit, whatDoesNotFitIsRefusedAtOnce)
+{
+    constexpr double perSecond = 4; // of both endpoints
+    constexpr double minUse = 0.25;
+    Fixture f(vms);
+    const std::string service = test->service;
+    for (const char *number : { "1", "2" }) {
+        f.endpoint(service + number).nameRateLimit("2");
+        f.sendUntilReached(service + number, test->target);
+    }
+    waitForAll(f, sendFor(f, noticeTime, test->target));
+    const auto arrivals = [&] {
+        return f.endpoint(service + "1").arrivalCount() + f.endpoint(service + "2").arrivalCount();
+    };
+    const auto pieces = [&] { return f.arrivals("first1") + f.arrivals("first2"); };
+    const std::size_t arrivalsBefore = arrivals();
+    const std::size_t piecesBefore = pieces();
+    const Time start = f.harness.loop().clock().now();
+    const auto responses = sendFor(f, countTime, test->target);
+    waitForAll(f, responses);
+    const double seconds = toSeconds(f.harness.loop().clock().now() - start);
+    std::size_t served = 0;
+    for (const auto &response : responses) {
+        const int status = (*response)->status;
+        cr_assert(status == net::status::ok || status == net::status::unavailable, "%s: %d", test->target, status);
+        cr_assert(status == net::status::ok || findRetryAfter((*response)->headers), "%s", test->target);
+        served += status == net::status::ok ? 1 : 0;
+    }
+    const auto sent = double(arrivals() - arrivalsBefore);
+    cr_assert_leq(sent, 2 * allowedArrivals(perSecond / 2, fromSeconds(seconds)), "%s: %g", test->target, sent);
+    cr_assert_geq(sent, minUse * perSecond * seconds, "%s: %g", test->target, sent);
+    cr_assert_leq(pieces() - piecesBefore, served, "%s: stages of refused requests have run", test->target);
+}
+
+Test(rateLimit, limitEndsWhenAnAnswerNoLongerNamesIt)
+{
+    Fixture f(2);
+    f.endpoint("plain1").nameRateLimit("5");
+    f.sendUntilReached("plain1", "/safe/x");
+    f.harness.waitForLogLines({ 0, 1 }, "\"rate limit changed\"", 2);
+    f.endpoint("plain1").nameRateLimit("");
+    f.sendUntilReached("plain1", "/safe/x");
+    f.harness.waitForLogLines({ 0, 1 }, "\"rate limit changed\"", 4);
+}
