--- a/tools/gateway/tests/gateway_test.cpp
+++ b/tools/gateway/tests/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <numeric>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -440,3 +441,38 @@
         }
     }
 }
+
+/** The store may stop responding to all VMs that read it for the others, and go on responding to the others. */
+Test(gateway, stateChangesReachAllVmsWhileTheStoreIsSilentToItsReaders)
+{
+    constexpr std::size_t vms = 6; // more than the number of store readers
+    constexpr std::size_t readers = 3;
+    constexpr Duration round = 100ms;
+    constexpr std::size_t maxRounds = 20; // of the time within which a state has to be in force, 2 s
+    Harness harness(vms);
+    harness.addEndpoint("p1", "plain", Behaviour::Respond);
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLinks();
+    std::vector<std::size_t> all(vms);
+    std::iota(all.begin(), all.end(), 0);
+    harness.waitForLogLines(all, "\"store reading changed\",\"fields\":{\"active\":false", vms - readers);
+    const Time lastReadsEndAt = harness.loop().clock().now() + 2s; // reads in progress of VMs that have stopped reading
+    harness.waitFor([&] { return harness.loop().clock().now() > lastReadsEndAt; }, "the end of reads in progress");
+    harness.waitFor([&] { return harness.store().hasCaughtUpReaders(); }, "reads that wait");
+    harness.store().silenceReaders();
+    auto routes = allRoutes();
+    routes.push_back({ .name = "new", .service = "plain" });
+    harness.store().publishDesiredState(makeState(2, routes));
+    std::size_t rounds = 0;
+    for (bool isInForce = false; !isInForce && rounds <= maxRounds; ++rounds) {
+        const Time next = harness.loop().clock().now() + round;
+        isInForce = true;
+        for (const auto vm : all) {
+            const auto id = std::to_string(rounds) + "-" + std::to_string(vm);
+            isInForce = harness.sendAndWait(vm, "GET", "/new/x", headers(id)).status == net::status::ok && isInForce;
+        }
+        harness.waitFor([&] { return harness.loop().clock().now() >= next; }, "the next round");
+    }
+    cr_assert_leq(rounds, maxRounds, "not in force on all VMs after %zu rounds", rounds);
+}
