Gateway: a store that goes silent to all its readers is noticed within 1.1 s

Cause: a reader noticed after its long poll (1.5 s) and the response time (0.6 s), and then waited as long again on a fresh connection, although its job is to tell the others that it can't read. Ready answers of the store are unchanged; a connection of one reader that goes silent makes it unavailable for some 150 ms, which others act on only if all are.

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -321,6 +321,8 @@
     Headers headers; ///< besides Content-Length and the client's default headers; Host is the address unless given
     std::string body;
     bool repeatable = false; ///< may be sent again on a fresh connection when a pooled one turns out dead
+    bool resendWhenSilent =
+        true; ///< if repeatable, also when the pooled one was silent for the limit of its first byte
     bool resendWhenLost = true; ///< if repeatable, also when the pooled one was closed, which may be a crash
     bool connectOnly = false; ///< sends nothing: sets up a fresh connection, which is pooled, and ends
     /**
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -252,7 +252,7 @@
         end(Error { ErrorKind::Timeout, "total time limit" });
     } else if (phase_ == Phase::Connecting) {
         end(Error { ErrorKind::Unreachable, "no connection within its time limit" });
-    } else if (mayRetry()) {
+    } else if (mayRetry() && (call_.resendWhenSilent || !connection_->mayHaveWritten())) {
         retryFresh();
     } else {
         end(Error { ErrorKind::Silent, "no byte within the time limit" });
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -11,10 +11,11 @@
 using userplatform::StoreRecord;
 using userplatform::Topic;
 
-/** For the desired state: changes are rare and must take effect within 2 s. */
-constexpr userplatform::WatchOptions operatorWatchTimes { 1500ms, 0ms, 150ms };
+/** For the desired state: changes are rare and must take effect within 2 s, also if the store goes silent to all
+ * readers: a read that is not answered within its long poll and the response time makes other VMs read. */
+constexpr userplatform::WatchOptions operatorWatchTimes { 500ms, 0ms, 150ms };
 /** For endpoint registrations: they are frequent, so several records are read at a time. */
-constexpr userplatform::WatchOptions endpointWatchTimes { 1500ms, 350ms, 150ms };
+constexpr userplatform::WatchOptions endpointWatchTimes { 500ms, 350ms, 150ms };
 /** For the addresses of VMs, which heartbeats carry too. */
 constexpr userplatform::WatchOptions vmWatchTimes { 20s, 5s, 500ms };
 /** Number of VMs that read the store for all: tolerates the loss of some at little load on the store. */
