Gateway: a request that has taken the place of an engine goes there; fewer wake-ups without suspects

Cause, from reading the change: with rate limits at all engines, a request with stages took a token at one engine and could be sent to another, which cost two; and each answer set a timer of its own for the success of its prompt parts, although nothing waits for it as long as no part is suspect.

--- a/libs/dispatch/src/prompt_part_tracker.cpp
+++ b/libs/dispatch/src/prompt_part_tracker.cpp
@@ -213,7 +213,7 @@
 std::optional<Time> PromptPartTracker::nextUpdateAt() const noexcept
 {
     auto next = nextDecisionAt_;
-    if (!pendingAnswers_.empty()) {
+    if (!pendingAnswers_.empty() && !parts_.empty()) { // without suspects, they may count later
         next = std::min(next.value_or(Time::max()), pendingAnswers_.front().countsAt);
     }
     return next;
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -71,9 +71,9 @@
         const bool wasTried =
             std::find(triedEndpoints.begin(), triedEndpoints.end(), entry->id) != triedEndpoints.end();
         const bool isFull = maxConnections > 0 && shared_.loadBalancer.inFlight(entry->id) >= connectionsPerVm;
-        const bool isBlocked = entry->lifetime() == reserved
-            ? shared_.notices.quietUntil(*reserved).has_value()
-            : shared_.notices.blockedUntil(entry->lifetime()).has_value();
+        const bool isReserved = entry->lifetime() == reserved;
+        const bool isBlocked = isReserved ? shared_.notices.quietUntil(*reserved).has_value()
+                                          : shared_.notices.blockedUntil(entry->lifetime()).has_value();
         if (wasTried || isFull || isBlocked) {
             continue;
         }
@@ -81,6 +81,9 @@
         if (isFirstLookup) {
             zone->second = shared_.links.isZoneReachable(entry->zone);
         }
+        if (isReserved && zone->second) {
+            return entry;
+        }
         candidates.push_back({ entry, estimatedWorkMs(*entry, results) });
         if (zone->second) {
             reachable.push_back(candidates.back());
