Gateway: reports of rate limits are bounded; many limits are divided among the VMs

Now: a report names the endpoints that it is about, a heartbeat 16 of them in turn; from 33 limited endpoints on, each VM keeps its part of each limit and reports nothing. Cost: a VM has few tokens for one endpoint then; the sum over the endpoints is used.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -67,6 +67,9 @@
  * same token within the delay of a message; the bucket goes below zero then, so the rate holds on average. Reports
  * carry the count of all sends, so one that is lost is made up for by the next.
  *
+ * With many limited endpoints the reports would cost too much. The limits are divided among the VMs then: each VM has
+ * few tokens for one endpoint, but the sum over the endpoints is used.
+ *
  * VMs that can't hear the others use the part of the limits that corresponds to their number, as both sides of a
  * partition may send.
  */
@@ -94,6 +97,8 @@
     std::optional<double> limit(const routing::EndpointLifetime &endpoint) const;
     /** Returns this VM's report on all endpoints that have named limits, and on those that no longer do. */
     std::vector<RateLimitUse> uses() const;
+    /** Returns this VM's report on one endpoint; empty if it has named no limit. */
+    std::optional<RateLimitUse> use(const routing::EndpointLifetime &endpoint) const;
     /** Removes lifetimes that have ended, and limits that ended long ago. */
     void expire(const routing::EndpointDirectory &directory, Time now);
 
@@ -107,12 +112,15 @@
         std::map<std::pair<VmId, Incarnation>, std::uint64_t> reportedCounts; ///< of other VMs
     };
 
+    bool isReported(const Limit &limit) const noexcept;
     double rate(const Limit &limit) const noexcept;
     double tokens(const Limit &limit, Time now) const noexcept;
     void takeTokens(Limit &limit, double count, Time now) const;
-    bool set(Limit &limit, std::optional<double> perSecond, Time statedAt, Time now) const;
+    bool set(Limit &limit, std::optional<double> perSecond, Time statedAt, Time now);
+    void countLimited() noexcept;
 
     std::map<routing::EndpointLifetime, Limit> limits_;
+    std::size_t limitedCount_ = 0; ///< endpoints that have a limit
     std::size_t heardVms_ = 1;
     std::size_t allVms_ = 1;
 };
--- a/libs/dispatch/src/shared_rate_limits.cpp
+++ b/libs/dispatch/src/shared_rate_limits.cpp
@@ -15,16 +15,13 @@
 constexpr double minRate = 0.1;
 /** Highest limit for which VMs report their sends; higher ones are divided among the VMs. */
 constexpr double maxReportedRate = 100;
+/** Number of limited endpoints up to which VMs report their sends. */
+constexpr std::size_t maxReportedLimits = 32;
 /** Time for which tokens may be overdrawn, so that late reports do not block an endpoint for long. */
 constexpr Duration maxDebtTime = 4s;
 /** Time for which the end of a limit is remembered and reported. */
 constexpr Duration endRetention = 30s;
 
-bool isReported(double perSecond) noexcept
-{
-    return perSecond <= maxReportedRate;
-}
-
 } // namespace
 
 bool SharedRateLimits::recordAnswer(const EndpointLifetime &endpoint,
@@ -50,7 +47,7 @@
     }
     ++found->second.sendCount;
     takeTokens(found->second, 1, now);
-    return isReported(*found->second.perSecond);
+    return isReported(found->second);
 }
 
 bool SharedRateLimits::merge(const VmId &vm, Incarnation incarnation, const RateLimitUse &use, Time now)
@@ -66,7 +63,7 @@
     const std::uint64_t news =
         isFirst ? std::min<std::uint64_t>(use.sendCount, 1) : use.sendCount - std::min(use.sendCount, count->second);
     count->second = std::max(count->second, use.sendCount);
-    if (limit.perSecond && isReported(*limit.perSecond)) {
+    if (limit.perSecond && isReported(limit)) {
         takeTokens(limit, double(news), now);
     }
     return hasChanged;
@@ -103,6 +100,15 @@
     return found == limits_.end() ? std::nullopt : found->second.perSecond;
 }
 
+std::optional<RateLimitUse> SharedRateLimits::use(const EndpointLifetime &endpoint) const
+{
+    const auto found = limits_.find(endpoint);
+    if (found == limits_.end()) {
+        return std::nullopt;
+    }
+    return RateLimitUse { endpoint, found->second.perSecond, found->second.statedAt, found->second.sendCount };
+}
+
 std::vector<RateLimitUse> SharedRateLimits::uses() const
 {
     std::vector<RateLimitUse> result;
@@ -118,13 +124,26 @@
         const bool hasEnded = !item.second.perSecond && now - item.second.statedAt > endRetention;
         return hasEnded || directory.hasEnded(item.first);
     });
+    countLimited();
+}
+
+/** Returns whether VMs report their sends; else the limit is divided among them. */
+bool SharedRateLimits::isReported(const Limit &limit) const noexcept
+{
+    return limit.perSecond.value_or(0) <= maxReportedRate && limitedCount_ <= maxReportedLimits;
+}
+
+void SharedRateLimits::countLimited() noexcept
+{
+    limitedCount_ = static_cast<std::size_t>(std::count_if(
+        limits_.begin(), limits_.end(), [](const auto &item) { return item.second.perSecond.has_value(); }));
 }
 
 /** Returns the tokens per second that the VMs which this one can hear may use. */
 double SharedRateLimits::rate(const Limit &limit) const noexcept
 {
     const double perSecond = std::max(limit.perSecond.value_or(0), minRate);
-    const std::size_t sharers = isReported(perSecond) ? heardVms_ : 1;
+    const std::size_t sharers = isReported(limit) ? heardVms_ : 1;
     return perSecond * double(sharers) / double(allVms_);
 }
 
@@ -143,7 +162,7 @@
 }
 
 /** Applies a statement of the endpoint. @return whether the limit has changed */
-bool SharedRateLimits::set(Limit &limit, std::optional<double> perSecond, Time statedAt, Time now) const
+bool SharedRateLimits::set(Limit &limit, std::optional<double> perSecond, Time statedAt, Time now)
 {
     const bool hasChanged = limit.perSecond != perSecond;
     if (hasChanged) {
@@ -151,6 +170,7 @@
         takeTokens(limit, 0, now);
         limit.tokens = limit.perSecond ? std::min(limit.tokens, 1.0) : 0;
         limit.perSecond = perSecond;
+        countLimited();
     }
     limit.statedAt = std::max(limit.statedAt, statedAt);
     return hasChanged;
--- a/libs/dispatch/tests/shared_rate_limits_test.cpp
+++ b/libs/dispatch/tests/shared_rate_limits_test.cpp
@@ -114,6 +114,29 @@
     cr_assert(limits.uses().empty());
 }
 
+Test(sharedRateLimits, manyLimitsAreDividedAmongTheVms)
+{
+    constexpr std::size_t vms = 10;
+    constexpr std::uint64_t endpoints = 40;
+    SharedRateLimits limits;
+    limits.setVmCounts(vms, vms, start);
+    for (std::uint64_t number = 0; number < endpoints; ++number) {
+        limits.recordAnswer({ EndpointId(std::to_string(number)), Incarnation(1) }, 2, start, start);
+    }
+    std::size_t sent = 0;
+    for (Time now = start; now < start + 21s; now += 10ms) { // a token every 5 s
+        for (std::uint64_t number = 0; number < endpoints; ++number) {
+            const routing::EndpointLifetime each { EndpointId(std::to_string(number)), Incarnation(1) };
+            if (!limits.blockedUntil(each, now)) {
+                cr_assert_not(limits.recordSend(each, now), "reported to all VMs");
+                ++sent;
+            }
+        }
+    }
+    const double expected = 2.0 / vms * endpoints * 20;
+    cr_assert_float_eq(double(sent), expected, expected * 0.1, "%zu", sent);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Replay of a fleet
 
--- a/tools/gateway/src/endpoint_notices.cpp
+++ b/tools/gateway/src/endpoint_notices.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_notices.h"
 
+#include <algorithm>
+
 namespace lacewing::gateway
 {
 namespace
@@ -7,6 +9,8 @@
 
 /** Minimum interval between two reports of the sends under rate limits. */
 constexpr Duration minReportInterval = 20ms;
+/** Number of endpoints in one heartbeat; the next one goes on with further endpoints. */
+constexpr std::size_t maxLimitsPerHeartbeat = 16;
 
 } // namespace
 
@@ -50,7 +54,7 @@
                               { { "endpoint", lifetime.endpoint },
                                 { "per_second", response.rateLimit.value_or(-1) },
                                 { "source", "endpoint" } });
-        reportRateLimits();
+        reportRateLimit(lifetime);
     }
     if (response.hasUnusableQuietTime) {
         decisionLog_.write(
@@ -116,42 +120,46 @@
 void EndpointNotices::onSend(const routing::EndpointLifetime &endpoint)
 {
     if (rateLimits_.recordSend(endpoint, context_.now())) {
-        reportRateLimits();
+        reportRateLimit(endpoint);
     }
 }
 
-/** Reports limits and sends to all VMs, at once or when the last report is old enough. */
-void EndpointNotices::reportRateLimits()
+/** Reports a limit and the sends under it to all VMs, at once or when the last report is old enough. */
+void EndpointNotices::reportRateLimit(const routing::EndpointLifetime &endpoint)
 {
     const Time now = context_.now();
-    if (isReportDue_) {
+    const bool isScheduled = !dueReports_.empty();
+    dueReports_.insert(endpoint);
+    if (isScheduled) {
         return;
     }
     if (reportedAt_ && now - *reportedAt_ < minReportInterval) {
-        isReportDue_ = true;
-        context_.loop.timers().once(*reportedAt_ + minReportInterval, [this](Time) {
-            isReportDue_ = false;
-            reportRateLimits();
-        });
-        return;
+        context_.loop.timers().once(*reportedAt_ + minReportInterval, [this](Time) { sendReports(); });
+    } else {
+        sendReports();
     }
-    reportedAt_ = now;
-    links_.broadcast(encodeMessage(MessageKind::RateLimits, rateLimitsMessage()));
 }
 
-RateLimitsMessage EndpointNotices::rateLimitsMessage() const
+void EndpointNotices::sendReports()
 {
-    const Time now = context_.now();
     RateLimitsMessage message { context_.settings.vm.text(), context_.incarnation.value(), {} };
-    for (const auto &use : rateLimits_.uses()) {
-        message.limits.push_back({ use.endpoint.endpoint.text(),
-                                   use.endpoint.incarnation.value(),
-                                   use.perSecond.has_value(),
-                                   use.perSecond.value_or(0),
-                                   toMilliseconds(now - use.statedAt),
-                                   use.sendCount });
+    for (const auto &endpoint : std::exchange(dueReports_, {})) {
+        if (const auto use = rateLimits_.use(endpoint)) {
+            message.limits.push_back(toMessage(*use));
+        }
     }
-    return message;
+    reportedAt_ = context_.now();
+    links_.broadcast(encodeMessage(MessageKind::RateLimits, message));
+}
+
+RateLimitMessage EndpointNotices::toMessage(const dispatch::RateLimitUse &use) const
+{
+    return { use.endpoint.endpoint.text(),
+             use.endpoint.incarnation.value(),
+             use.perSecond.has_value(),
+             use.perSecond.value_or(0),
+             toMilliseconds(context_.now() - use.statedAt),
+             use.sendCount };
 }
 
 std::vector<RateLimitMessage> EndpointNotices::updateRateLimits()
@@ -160,7 +168,12 @@
     const std::size_t heard = links_.expectedCount();
     fleetSize_.update(heard, now);
     rateLimits_.setVmCounts(heard, fleetSize_.value(), now);
-    return rateLimitsMessage().limits;
+    const auto uses = rateLimits_.uses();
+    std::vector<RateLimitMessage> messages;
+    for (std::size_t count = std::min(uses.size(), maxLimitsPerHeartbeat); count > 0; --count) {
+        messages.push_back(toMessage(uses[heartbeatReports_++ % uses.size()]));
+    }
+    return messages;
 }
 
 void EndpointNotices::handleRateLimits(const RateLimitsMessage &message)
--- a/tools/gateway/src/endpoint_notices.h
+++ b/tools/gateway/src/endpoint_notices.h
@@ -8,6 +8,7 @@
 #include <dispatch/dispatch.h>
 
 #include <optional>
+#include <set>
 
 namespace lacewing::gateway
 {
@@ -52,8 +53,9 @@
     void expire(Time now);
 
 private:
-    void reportRateLimits();
-    RateLimitsMessage rateLimitsMessage() const;
+    void reportRateLimit(const routing::EndpointLifetime &endpoint);
+    void sendReports();
+    RateLimitMessage toMessage(const dispatch::RateLimitUse &use) const;
 
     Context &context_;
     FleetLinks &links_;
@@ -62,7 +64,8 @@
     dispatch::SharedRateLimits rateLimits_;
     dispatch::FleetSizeEstimate fleetSize_;
     std::optional<Time> reportedAt_; ///< when the rate limits were last reported to all VMs
-    bool isReportDue_ = false; ///< a report is scheduled
+    std::set<routing::EndpointLifetime> dueReports_; ///< endpoints on which a report is scheduled
+    std::size_t heartbeatReports_ = 0; ///< reports on endpoints in heartbeats so far
     DecisionLog decisionLog_;
     telemetry::Counter leavingCounter_;
     telemetry::Counter quietCounter_;
