Dispatch: a list item of a comment keeps its indentation

Cause: the formatter had broken the second item of PromptPartTracker's comment into a paragraph, which reads as if it were about both.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -433,8 +433,8 @@
  * - An answer that ended, or that has been arriving for long, refutes all crashes before its beginning if its endpoint
  *   lives on. A part that has succeeded shortly before its crashes is quarantined only after a time for such answers.
  * - A crash has one cause. The part that explains most crashes is quarantined, and the others in flight at them are not
- *   held responsible. A part in answers that had been arriving for long is the less likely cause. Among equals, it is
- * the part that comes later in prompts, then the one whose answers had begun more often.
+ *   held responsible. A part in answers that had been arriving for long is the less likely cause. Among equals, the
+ *   cause is the part that comes later in prompts, then the one whose answers had begun more often.
  *
  * VMs exchange what they know. Merging is a union of crashes and the latest of times, so VMs that have exchanged
  * everything agree, but for the delay of messages.
