Gateway: log transfers of records that fail, and since when a VM knows of a version that it has not

A transfer of records that failed was not logged at all, one that succeeded said neither bytes nor time, and nothing said when a VM first knew of the version that it lacked. Metrics: bytes sent to and received from other VMs, messages dropped. No decision changes.

--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -221,6 +221,11 @@
     network_.cancel(handle);
 }
 
+peer::PeerCounters FleetLinks::counters() const
+{
+    return network_.counters();
+}
+
 bool FleetLinks::hasRecentHeartbeat(const PeerVm &vm) const
 {
     const Duration timeout = HeartbeatSchedule::failureTimeout(std::chrono::milliseconds(vm.heartbeat.periodMs));
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -91,6 +91,7 @@
                               peer::CallLimits limits,
                               peer::CallHandlers handlers);
     void cancel(peer::PeerCallHandle handle);
+    peer::PeerCounters counters() const;
 
 private:
     bool hasRecentHeartbeat(const PeerVm &vm) const;
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -7,6 +7,7 @@
 namespace
 {
 
+using routing::StateVersion;
 using userplatform::LogPosition;
 using userplatform::StoreRecord;
 using userplatform::Topic;
@@ -248,8 +249,11 @@
         return false;
     }
     routes_ = std::make_shared<const routing::RouteTable>(std::move(state.value()));
+    const Duration sinceKnown = version == latestKnownVersion_ ? context_.now() - latestKnownSince_ : Duration::zero();
     context_.logger.state("desired state in force",
                           { { "version", version },
+                            { "known_for_ms", toMilliseconds(sinceKnown) },
+                            { "bytes", record.value->size() },
                             { "routes", routes_->state().routes.size() },
                             { "services", routes_->state().services.size() } });
     return true;
@@ -456,6 +460,14 @@
     const TopicReplica &operatorReplica = replicas_[Topic::Operator];
     const std::uint64_t operatorEnd = operatorReplica.end.packed();
     const bool isBehind = heartbeat.stateVersion > version || heartbeat.operatorEndOffset > operatorEnd;
+    if (const StateVersion announced(heartbeat.stateVersion); announced > latestKnownVersion_) {
+        latestKnownVersion_ = announced;
+        latestKnownSince_ = context_.now();
+        if (heartbeat.stateVersion > version) {
+            context_.logger.state("newer desired state known",
+                                  { { "version", announced }, { "in_force", version }, { "vm", vm } });
+        }
+    }
     if (heartbeat.stateVersion > version && heartbeat.operatorEndOffset <= operatorEnd) {
         // The store has lost this version, so no record that it still gives can catch up with the other VM.
         requestRecords(Topic::Operator, vm, LogPosition());
@@ -479,20 +491,30 @@
     replica.lastPeerRequestAt = now;
     const RecordsRequest request { topic, start.packed() };
     peer::CallHandlers handlers;
-    handlers.onData = [this, topic, vm](const std::string &message) {
+    handlers.onData = [this, topic, vm, now](const std::string &message) {
         const auto response = wire::decode<RecordsResponse>(message);
         if (!response) {
             context_.logger.warn("malformed records", { { "vm", vm }, { "error", response.error().detail } });
             return;
         }
-        context_.logger.state(
-            "records received from vm",
-            { { "topic", topicName(topic) }, { "vm", vm }, { "records", response.value().records.size() } });
+        context_.logger.state("records received from vm",
+                              { { "topic", topicName(topic) },
+                                { "vm", vm },
+                                { "records", response.value().records.size() },
+                                { "bytes", message.size() },
+                                { "ms", toMilliseconds(context_.now() - now) } });
         if (topic == Topic::Endpoints) {
             endpointsLoaded_ = true;
         }
         applyPeerRecords(topic, response.value());
     };
+    handlers.onFailed = [this, topic, vm, now](const Error &error, bool) {
+        context_.logger.warn("records not received from vm",
+                             { { "topic", topicName(topic) },
+                               { "vm", vm },
+                               { "error", toText(error.kind) },
+                               { "ms", toMilliseconds(context_.now() - now) } });
+    };
     links_.call(vm, encodeMessage(MessageKind::Records, request), recordCallLimits, std::move(handlers));
 }
 
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -118,6 +118,8 @@
     std::map<userplatform::Topic, TopicReplica> replicas_;
     std::shared_ptr<const routing::RouteTable> routes_;
     routing::EndpointDirectory endpoints_;
+    routing::StateVersion latestKnownVersion_; ///< highest version that another VM has named
+    Time latestKnownSince_;
     bool endpointsLoaded_ = false;
     bool isDeregistered_ = false; ///< this VM leaves and has removed its address
     bool readsStore_ = true; ///< whether this VM reads the store itself
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -81,6 +81,7 @@
     , metricsServer_(context.loop,
                      net::HttpServerOptions().maxConnections(16),
                      [this](const net::HttpRequest &, net::ResponseWriter writer) {
+                         updateMetrics();
                          writer.respond(net::status::ok,
                                         { { "Content-Type", "text/plain; version=0.0.4" } },
                                         context_.metrics.exposition());
@@ -163,6 +164,18 @@
     }
 }
 
+/** Sets the metrics that are read from counters elsewhere. */
+void Gateway::updateMetrics()
+{
+    const auto peers = links_.counters();
+    const auto set = [&](const telemetry::MetricSpec &spec, double value) { context_.metrics.gauge(spec).set(value); };
+    set({ "peer_sent", "Bytes sent to other VMs since the start", telemetry::Unit::Bytes }, double(peers.bytesSent));
+    set({ "peer_received", "Bytes received from other VMs since the start", telemetry::Unit::Bytes },
+        double(peers.bytesReceived));
+    set({ "peer_messages_dropped", "Messages to other VMs that were dropped since the start" },
+        double(peers.messagesDropped));
+}
+
 void Gateway::handleReadinessCheck(const net::HttpRequest &request, net::ResponseWriter writer)
 {
     if (!userplatform::isReadinessCheck(request)) {
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -29,6 +29,7 @@
     void waitForSignal();
     void startShutdown();
     void finishShutdownWhenIdle();
+    void updateMetrics();
     void handleReadinessCheck(const net::HttpRequest &request, net::ResponseWriter writer);
     void handleStateChange();
     void handleQuarantineRead(std::string_view name, const std::string &bytes);
