--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint16_t callersPort = 8625;
 constexpr std::uint16_t readinessPort = 8621;
 constexpr std::uint16_t firstInternalPort = 7740;
+constexpr std::uint16_t metricsPort = firstInternalPort + 1;
 /** Ends a test that hangs; no check depends on its length. */
 constexpr Duration waitTimeout = 30s;
 constexpr Duration pollInterval = 5ms;
@@ -232,6 +233,21 @@
     return 0;
 }
 
+double Harness::metric(std::size_t vm, const std::string &name)
+{
+    net::HttpCall call;
+    call.address = vms_[vm].ip + ":" + std::to_string(metricsPort);
+    call.target = "/metrics";
+    std::optional<std::string> text;
+    net::fetch(client_, std::move(call), {}, [&](const net::HttpEnd &, const net::HttpResponse &response) {
+        text = response.body;
+    });
+    waitFor([&] { return text.has_value(); }, "metrics");
+    const auto line = text->find("\n" + name + " ");
+    cr_assert_neq(line, std::string::npos, "no metric %s", name.c_str());
+    return std::stod(text->substr(line + name.size() + 2));
+}
+
 bool Harness::hasEnded(std::size_t vm)
 {
     if (vms_[vm].process > 0 && waitpid(vms_[vm].process, nullptr, WNOHANG) == vms_[vm].process) {
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -79,6 +79,8 @@
     void signal(std::size_t vm, int number);
     /** Returns the largest amount of memory that the process of a VM has used so far, in bytes. */
     std::size_t peakMemory(std::size_t vm) const;
+    /** Returns the value of a metric without labels of a VM. */
+    double metric(std::size_t vm, const std::string &name);
     /** Returns whether the process of a VM has ended. */
     bool hasEnded(std::size_t vm);
 
