Gateway: desired states pass from VM to VM as what has changed, in transfers that end however long they take

What callers saw: CONFIG on large fleets with large states. VMs with small links handled requests by versions that were replaced up to 30 s before, and their links were full all the time, which also made their callers' requests late.

The class: the cost of a change was that of the state times the fleet, and a transfer had a limit that its size did not enter. Ruled out: processor (1 to 3% on the VMs that were behind), the store (available).

Now: a reader announces a version in a few bytes. The others request what has changed since their own version from one VM each, along trees within their zones with a fan-out of eight; a VM that hasn't got it yet requests it in turn and holds the request for a while. A transfer ends when nothing more arrives, never by its total time, and is not cancelled for a newer version; what is overtaken before its transfer begins is not sent. The result is checked by a digest of its contents, which heartbeats carry too. The readers parse the record of the highest version only. A VM that knows of a version and lacks it until it is due fails readiness checks and refuses (503, Retry-After) what the version may answer differently, by the hosts and keys that the announcement names; the rest it serves. Same cause elsewhere: requests for endpoint registrations and for suspects had the same limits; they use the same transfer now, one at a time.

--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/base.h>
+#include <wire/wire.h>
 
 #include <cstdint>
 #include <memory>
@@ -37,6 +38,8 @@
 struct WeightedService {
     ServiceId service;
     double weight = 1; ///< relative to the weights of the route's other services; greater than 0
+
+    LACEWING_MEMBERS(service, weight)
 };
 
 /** A stage that must complete before a request can be forwarded. */
@@ -44,6 +47,8 @@
     ServiceId service;
     std::vector<std::uint32_t> dependencies; ///< indices of stages whose results it reads; each below its own
     Bytes resultBytes; ///< approximate size of one result
+
+    LACEWING_MEMBERS(service, dependencies, resultBytes)
 };
 
 /** Configuration of the requests for one host and path prefix. */
@@ -67,6 +72,20 @@
     {
         return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable);
     }
+
+    LACEWING_MEMBERS(id,
+                     host,
+                     pathPrefix,
+                     kind,
+                     timeout,
+                     latencyTarget,
+                     eventGapTarget,
+                     maxAttempts,
+                     priority,
+                     isPublic,
+                     isResumable,
+                     services,
+                     stages)
 };
 
 /** How an endpoint of a stage service processes batches of pieces. */
@@ -78,12 +97,17 @@
     Duration timePerPiece {}; ///< additional duration of a call for each piece; approximate
     Bytes resultCapacity; ///< memory for retained results
     Duration resultTtl {}; ///< time after which the endpoint discards a result
+
+    LACEWING_MEMBERS(
+        maxConcurrentCalls, maxQueuedCalls, maxPiecesPerCall, callOverhead, timePerPiece, resultCapacity, resultTtl)
 };
 
 /** Capacity of a model engine. */
 struct EngineCapacity {
     std::size_t slots = 1; ///< concurrent requests
     Tokens kvCacheTokens; ///< KV cache capacity, shared by running requests and cached prompts
+
+    LACEWING_MEMBERS(slots, kvCacheTokens)
 };
 
 /** A group of interchangeable endpoints. */
@@ -93,6 +117,8 @@
     std::size_t maxConnections = 0; ///< accepted by one endpoint from all VMs together; 0: unknown
     std::optional<BatchConfig> batch; ///< set for services that run stages
     std::optional<EngineCapacity> engine; ///< set for model engines
+
+    LACEWING_MEMBERS(id, healthPath, maxConnections, batch, engine)
 };
 
 /** A workspace and the API keys of its callers. */
@@ -100,20 +126,118 @@
     WorkspaceId workspace;
     std::vector<std::string> keys;
     std::optional<int> priority; ///< overrides the priority of the route
+
+    LACEWING_MEMBERS(workspace, keys, priority)
 };
 
-/** The configuration that an operator has requested. */
-struct DesiredState {
-    StateVersion version;
-    std::vector<Route> routes;
-    std::vector<Service> services;
+/** An immutable part of a desired state. Versions that have the same part share it. */
+template <typename T>
+class StatePart
+{
+public:
+    StatePart(T value) // NOLINT(google-explicit-constructor): a part is its value
+        : value_(std::make_shared<const T>(std::move(value)))
+        , digest_(hashBytes(wire::encode(*value_)))
+    {
+    }
+
+    const T &operator*() const noexcept
+    {
+        return *value_;
+    }
+    const T *operator->() const noexcept
+    {
+        return value_.get();
+    }
+    /** Returns a hash of the contents, equal on all VMs. */
+    std::uint64_t digest() const noexcept
+    {
+        return digest_;
+    }
+
+private:
+    std::shared_ptr<const T> value_;
+    std::uint64_t digest_;
+};
+
+/** What a desired state holds beside its lists. */
+struct GeneralState {
     bool requiresKeys = false; ///< routes that are not public require an API key
-    std::vector<KeyHolder> keyHolders;
     std::optional<Duration> idleTimeout; ///< maximum idle time of a caller's connection
     std::optional<std::size_t> maxHeaderBytes;
     std::optional<std::size_t> maxBodyBytes;
+
+    LACEWING_MEMBERS(requiresKeys, idleTimeout, maxHeaderBytes, maxBodyBytes)
+};
+
+/** The configuration that an operator has requested. */
+struct DesiredState {
+    StateVersion version;
+    GeneralState general;
+    std::vector<StatePart<Route>> routes;
+    std::vector<StatePart<Service>> services;
+    std::vector<StatePart<KeyHolder>> keyHolders;
+};
+
+/** Returns a hash of a desired state's contents, equal on all VMs; does not include the version. */
+std::uint64_t digestOf(const DesiredState &state);
+
+/** Difference between two lists: ranges of the earlier list that are kept, each followed by new items. */
+template <typename T>
+struct ListDelta {
+    struct Run {
+        std::uint32_t first = 0; ///< position in the earlier list
+        std::uint32_t count = 0;
+        std::vector<T> added;
+
+        LACEWING_MEMBERS(first, count, added)
+    };
+    std::vector<Run> runs;
+
+    LACEWING_MEMBERS(runs)
 };
 
+/** Difference between two desired states. */
+struct StateDelta {
+    std::uint64_t baseDigest = 0; ///< of the earlier state; 0: the later state is complete in itself
+    StateVersion version; ///< of the later state
+    std::uint64_t digest = 0; ///< of the later state
+    GeneralState general;
+    ListDelta<Route> routes;
+    ListDelta<Service> services;
+    ListDelta<KeyHolder> keyHolders;
+
+    LACEWING_MEMBERS(baseDigest, version, digest, general, routes, services, keyHolders)
+};
+
+/**
+ * What a desired state changes of an earlier one, in a few bytes: a VM that has the earlier one only tells from it
+ * which requests that one still answers rightly.
+ */
+struct StateImpact {
+    std::uint64_t baseDigest = 0; ///< of the earlier state
+    bool isComplete = false; ///< whether all that has changed is listed below
+    std::vector<std::uint64_t> hosts; ///< hashes of the earlier state's hosts of which a route was changed
+    std::vector<std::uint64_t> keys; ///< hashes of API keys that were taken from their holder
+
+    LACEWING_MEMBERS(baseDigest, isComplete, hosts, keys)
+
+    bool affectsHost(std::string_view host) const;
+    bool affectsKey(std::string_view key) const;
+};
+/** Hosts and keys that an impact lists at most: some 8 KB. */
+constexpr std::size_t maxImpactEntries = 1'000;
+StateImpact computeImpact(const DesiredState &base, const DesiredState &state);
+
+/** Returns what leads from one state to another. @param base null: the delta is complete in itself */
+StateDelta makeDelta(const DesiredState *base, const DesiredState &state);
+/**
+ * Applies a delta. Fails with Malformed if it does not fit the base or does not lead to the state that it names.
+ *
+ * @param base null if there is none
+ */
+Result<DesiredState> applyDelta(const DesiredState *base, const StateDelta &delta);
+
 /** An immutable index of a desired state. */
 class RouteTable
 {
@@ -133,6 +257,8 @@
      * @param target path with or without a query
      */
     const Route *findRoute(std::string_view host, std::string_view target) const;
+    /** Returns the host under which a route is looked up: lower case, without a port unless a route names one. */
+    std::string routedHost(std::string_view host) const;
     /** Returns the holder of an API key, or null if the key is unknown. */
     const KeyHolder *findKeyHolder(std::string_view key) const;
     /** Returns null if the state has no such service. */
--- a/libs/routing/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -32,7 +32,7 @@
     : state_(std::move(state))
 {
     for (const auto &route : state_.routes) {
-        routesByHost_[lowerCase(route.host)].push_back(&route);
+        routesByHost_[lowerCase(route->host)].push_back(&*route);
     }
     for (auto &[host, routes] : routesByHost_) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) {
@@ -40,21 +40,18 @@
         });
     }
     for (const auto &holder : state_.keyHolders) {
-        for (const auto &key : holder.keys) {
-            holdersByKey_.emplace(key, &holder);
+        for (const auto &key : holder->keys) {
+            holdersByKey_.emplace(key, &*holder);
         }
     }
     for (const auto &service : state_.services) {
-        servicesById_.emplace(service.id.text(), &service);
+        servicesById_.emplace(service->id.text(), &*service);
     }
 }
 
 const Route *RouteTable::findRoute(std::string_view host, std::string_view target) const
 {
-    auto found = routesByHost_.find(lowerCase(host));
-    if (found == routesByHost_.end()) {
-        found = routesByHost_.find(lowerCase(stripPort(host)));
-    }
+    const auto found = routesByHost_.find(routedHost(host));
     if (found == routesByHost_.end()) {
         return nullptr;
     }
@@ -65,6 +62,12 @@
     return match == routes.end() ? nullptr : *match;
 }
 
+std::string RouteTable::routedHost(std::string_view host) const
+{
+    std::string result = lowerCase(host);
+    return routesByHost_.contains(result) ? result : lowerCase(stripPort(host));
+}
+
 const KeyHolder *RouteTable::findKeyHolder(std::string_view key) const
 {
     const auto found = holdersByKey_.find(key);
--- a/libs/routing/tests/route_table_test.cpp
+++ b/libs/routing/tests/route_table_test.cpp
@@ -29,8 +29,8 @@
                      route("long", "a.example", "/x/y/"),
                      route("other", "b.example", "/") };
     state.services = { Service { ServiceId("s"), "/health" } };
-    state.requiresKeys = true;
-    state.keyHolders = { { WorkspaceId("w"), { "k1", "k2" }, std::nullopt } };
+    state.general.requiresKeys = true;
+    state.keyHolders = { KeyHolder { WorkspaceId("w"), { "k1", "k2" }, std::nullopt } };
     return state;
 }
 
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -15,6 +15,8 @@
 constexpr Duration connectTimeout = 500ms;
 /** Time after it became known for which a VM is expected to be live without a heartbeat. */
 constexpr Duration firstHeartbeatTimeout = 5s;
+/** Number of VMs that read the store for all: tolerates the loss of some at little load on the store. */
+constexpr std::size_t storeReaderCount = 3;
 constexpr std::size_t maxQueuedMessages = 256;
 constexpr std::size_t maxQueuedCalls = 4'000;
 constexpr std::size_t maxStreams = 4'000;
@@ -95,13 +97,11 @@
     updateMembers();
 }
 
-void FleetLinks::setView(std::uint64_t stateVersion,
-                         std::uint64_t operatorEndOffset,
-                         std::uint64_t endpointsEndOffset,
-                         bool isReadingStore)
+void FleetLinks::setView(const StateVersionMessage &state, std::uint64_t endpointsEndOffset, bool isReadingStore)
 {
-    localHeartbeat_.stateVersion = stateVersion;
-    localHeartbeat_.operatorEndOffset = operatorEndOffset;
+    localHeartbeat_.stateVersion = state.version.value();
+    localHeartbeat_.stateDigest = state.digest;
+    localHeartbeat_.operatorEndOffset = state.position;
     localHeartbeat_.isReadingStore = isReadingStore;
     localHeartbeat_.endpointsEndOffset = endpointsEndOffset;
 }
@@ -131,17 +131,26 @@
     return result;
 }
 
-bool FleetLinks::isResponsible(std::string_view task, std::size_t count) const
+std::vector<VmId> FleetLinks::responsibleVms(std::string_view task, std::size_t count) const
 {
     std::vector<TaskCandidate> candidates;
     for (const auto &vm : members(std::nullopt)) {
-        const auto *peerVm = find(vm);
-        candidates.push_back({ vm, peerVm != nullptr ? peerVm->heartbeat.linkMbps : localHeartbeat_.linkMbps });
+        candidates.push_back({ vm, linkMbps(vm) });
     }
-    const auto chosen = selectForTask(task, candidates, count);
+    return selectForTask(task, candidates, count);
+}
+
+bool FleetLinks::isResponsible(std::string_view task, std::size_t count) const
+{
+    const auto chosen = responsibleVms(task, count);
     return std::find(chosen.begin(), chosen.end(), context_.settings.vm) != chosen.end();
 }
 
+std::vector<VmId> FleetLinks::storeReaders() const
+{
+    return responsibleVms("store", storeReaderCount);
+}
+
 std::size_t FleetLinks::expectedCount() const
 {
     return 1 + static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](const auto &item) {
@@ -190,6 +199,18 @@
     return peerVm != nullptr && peerVm->lastHeartbeatAt ? peerVm->heartbeat.cpuShare : 0;
 }
 
+double FleetLinks::linkMbps(const VmId &vm) const
+{
+    const auto *peerVm = find(vm);
+    return peerVm != nullptr ? peerVm->heartbeat.linkMbps : localHeartbeat_.linkMbps;
+}
+
+AvailabilityZoneId FleetLinks::zoneOf(const VmId &vm) const
+{
+    const auto *peerVm = find(vm);
+    return peerVm != nullptr ? peerVm->zone : context_.settings.zone;
+}
+
 void FleetLinks::send(const VmId &vm, std::string message)
 {
     if (const auto *peerVm = find(vm)) {
@@ -295,12 +316,17 @@
     case MessageKind::EndpointLeaving:
         deliver(handlers_.onEndpointLeaving);
         break;
+    case MessageKind::StateAnnouncement:
+        deliver(std::function<void(const StateAnnouncement &)>(
+            [&](const StateAnnouncement &announcement) { handlers_.onStateAnnounced(from.vm, announcement); }));
+        break;
     case MessageKind::RecordsPush:
         deliver(std::function<void(const RecordsPush &)>(
             [&](const RecordsPush &push) { handlers_.onRecordsPushed(from.vm, push); }));
         break;
     case MessageKind::Pieces:
     case MessageKind::Records:
+    case MessageKind::State:
     case MessageKind::Suspects:
         break;
     }
@@ -320,6 +346,11 @@
             handlers_.onRecords(decoded.value(), std::move(writer));
             return;
         }
+    } else if (kind == MessageKind::State) {
+        if (const auto decoded = wire::decode<StateRequest>(body)) {
+            handlers_.onStateRequested(decoded.value(), std::move(writer));
+            return;
+        }
     } else if (kind == MessageKind::Suspects) {
         handlers_.onSuspectsRequested(std::move(writer));
         return;
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -31,8 +31,10 @@
     std::function<void(const RateLimitsMessage &)> onRateLimits;
     std::function<void(const EndpointLifetimeMessage &)> onEndpointLeaving;
     std::function<void(const VmId &from, const RecordsPush &)> onRecordsPushed;
+    std::function<void(const VmId &from, const StateAnnouncement &)> onStateAnnounced;
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
     std::function<void(const RecordsRequest &, peer::PeerCallWriter)> onRecords;
+    std::function<void(const StateRequest &, peer::PeerCallWriter)> onStateRequested;
     std::function<void(peer::PeerCallWriter)> onSuspectsRequested;
     std::function<void(const VmId &, const Heartbeat &)> onHeartbeat;
     std::function<void(Heartbeat &)> fillHeartbeat; ///< fills in the contents of the next heartbeat
@@ -60,10 +62,7 @@
     /** Removes a VM that has deregistered from the store. */
     void removeVm(const VmId &vm);
     /** Sets how up to date this VM's view is, for its heartbeats. */
-    void setView(std::uint64_t stateVersion,
-                 std::uint64_t operatorEndOffset,
-                 std::uint64_t endpointsEndOffset,
-                 bool isReadingStore);
+    void setView(const StateVersionMessage &state, std::uint64_t endpointsEndOffset, bool isReadingStore);
     /** Announces that this VM accepts no more work from other VMs. */
     void leave();
 
@@ -71,6 +70,8 @@
     std::vector<VmId> members(const std::optional<AvailabilityZoneId> &zone) const;
     /** Returns whether this VM is among the `count` VMs that take on a fleet-wide task, out of members(). */
     bool isResponsible(std::string_view task, std::size_t count) const;
+    /** Returns the VMs that read the store for all, out of members(). */
+    std::vector<VmId> storeReaders() const;
     /**
      * Returns the number of VMs, including leaving ones and this VM, that are live, or that became known so recently
      * that they may not have been heard yet. This VM hears no others right after its start.
@@ -83,6 +84,10 @@
     bool isLive(const VmId &vm) const;
     /** Returns the CPU cores that a VM, or this VM, may use; 0 if unknown. */
     double cpuShare(const VmId &vm) const;
+    /** Returns the bandwidth of the link of a VM, or of this VM, in Mbit/s; 0 if unknown. */
+    double linkMbps(const VmId &vm) const;
+    /** Returns the zone of a VM, or of this VM; empty if unknown. */
+    AvailabilityZoneId zoneOf(const VmId &vm) const;
 
     void send(const VmId &vm, std::string message);
     void broadcast(const std::string &message);
@@ -94,6 +99,7 @@
     peer::PeerCounters counters() const;
 
 private:
+    std::vector<VmId> responsibleVms(std::string_view task, std::size_t count) const;
     bool hasRecentHeartbeat(const PeerVm &vm) const;
     HeartbeatLink heartbeatLink(const PeerVm &vm) const;
     bool hasFleetWideRole() const noexcept;
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -19,17 +19,19 @@
 constexpr userplatform::WatchOptions endpointWatchTimes { 500ms, 350ms, 150ms };
 /** For the addresses of VMs, which heartbeats carry too. */
 constexpr userplatform::WatchOptions vmWatchTimes { 20s, 5s, 500ms };
-/** Number of VMs that read the store for all: tolerates the loss of some at little load on the store. */
-constexpr std::size_t storeReaderCount = 3;
 /** Time after the start during which each VM reads the store itself, until it has received heartbeats of the others. */
 constexpr Duration initialReadingTime = 500ms;
+/** A version counts as overdue this long before the operator expects it in force: the store has confirmed it some time
+ * before this VM heard of it. */
+constexpr Duration overdueMargin = 300ms;
 /** Interval of the checks whether this VM has to read the store; similar to the heartbeat interval. */
 constexpr Duration readerCheckInterval = 200ms;
 /** Minimum interval between requests for records to other VMs. */
 constexpr Duration minPeerRequestInterval = 300ms;
 /** Interval of the checks for registrations that expired after an outage of the store. */
 constexpr Duration expiryCheckInterval = 200ms;
-constexpr peer::CallLimits recordCallLimits { 300ms, 500ms, 500ms, 1s };
+/** Records of a whole topic that another VM may send. */
+constexpr std::size_t maxRecordsBytes = std::size_t(16) << 20U;
 /** Spreads the writes of all VMs after the store has lost them; a fleet of 370 VMs writes some 190 a second. */
 constexpr Duration maxRewriteDelay = 2s;
 /** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
@@ -66,6 +68,14 @@
     , onChanged_(std::move(onChanged))
     , onQuarantineRead_(std::move(onQuarantineRead))
     , store_(context.loop, context.settings.storeAddress)
+    , stateExchange_(
+          context,
+          links,
+          [this](routing::DesiredState state, LogPosition position) {
+              putInForce(std::move(state), position, "vm");
+              notifyChanged();
+          },
+          [this] { return readsStore_ && !replicas_[Topic::Operator].isStoreLost; })
     , endpoints_(context.settings.reregistrationPeriod)
 {
 }
@@ -144,11 +154,13 @@
     if (isRollback && isSnapshot && topic == Topic::Vms) {
         rewriteLostRecords(records);
     }
+    if (topic == Topic::Operator) {
+        applyDesiredStates(records);
+        replica.end = std::max(replica.end, end);
+        notifyChanged();
+        return;
+    }
     for (const auto &record : records) {
-        if (topic == Topic::Operator) {
-            applyDesiredState(replica, record);
-            continue;
-        }
         auto &latest = replica.records[record.key];
         if (latest.key.empty() || latest.position <= record.position) {
             latest = record;
@@ -220,43 +232,61 @@
     }
 }
 
-/** Keeps the record with the latest version, at the latest position, so that it is served to VMs that are behind. */
-void FleetState::applyDesiredState(TopicReplica &replica, const StoreRecord &record)
+/** Puts the valid state of the highest version in force that the store has given, if it is newer than the current one.
+ * States that are overtaken already are not parsed. */
+void FleetState::applyDesiredStates(const std::vector<StoreRecord> &records)
 {
-    auto &latest = replica.records[record.key];
-    const LogPosition position = std::max(latest.position, record.position);
-    const bool isInForce = acceptDesiredState(record);
-    if (isInForce || latest.key.empty()) {
-        latest = record;
+    std::vector<std::pair<StateVersion, const StoreRecord *>> candidates;
+    for (const auto &record : records) {
+        if (record.key != userplatform::desiredStateKey || !record.value) {
+            continue;
+        }
+        const auto version = userplatform::parseStateVersion(*record.value);
+        if (!version) {
+            logMalformedState(record, version.error());
+        } else if (!routes_ || version.value() >= routes_->state().version) {
+            candidates.emplace_back(version.value(), &record);
+        }
+    }
+    std::stable_sort(
+        candidates.begin(), candidates.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    for (const auto &[version, record] : candidates) {
+        auto state = userplatform::parseDesiredState(*record->value);
+        if (!state) {
+            logMalformedState(*record, state.error());
+            continue;
+        }
+        const auto position = record->position.next();
+        if (stateExchange_.isNewer(version, routing::digestOf(state.value()), position)) {
+            const auto previous = routes_;
+            putInForce(std::move(state.value()), position, "store");
+            if (isStoreReader()) {
+                stateExchange_.announce(previous.get());
+            }
+        }
+        return;
     }
-    latest.position = position;
 }
 
-/** Puts a desired state in force if it is newer than the one in force. */
-bool FleetState::acceptDesiredState(const StoreRecord &record)
+void FleetState::logMalformedState(const StoreRecord &record, const Error &error)
 {
-    if (record.key != userplatform::desiredStateKey || !record.value) {
-        return false;
-    }
-    auto state = userplatform::parseDesiredState(*record.value);
-    if (!state) {
-        context_.logger.error("malformed desired state",
-                              { { "offset", record.position.offset() }, { "error", state.error().detail } });
-        return false;
-    }
-    const auto version = state.value().version;
-    if (routes_ && version <= routes_->state().version) {
-        return false;
-    }
-    routes_ = std::make_shared<const routing::RouteTable>(std::move(state.value()));
-    const Duration sinceKnown = version == latestKnownVersion_ ? context_.now() - latestKnownSince_ : Duration::zero();
+    context_.logger.error("malformed desired state",
+                          { { "offset", record.position.offset() }, { "error", error.detail } });
+}
+
+void FleetState::putInForce(routing::DesiredState state, LogPosition position, std::string_view source)
+{
+    const auto behindSince = stateExchange_.behindSince();
+    routes_ = std::make_shared<const routing::RouteTable>(std::move(state));
+    // The store is read from here on if this VM becomes a reader.
+    replicas_[Topic::Operator].end = std::max(replicas_[Topic::Operator].end, position);
     context_.logger.state("desired state in force",
-                          { { "version", version },
-                            { "known_for_ms", toMilliseconds(sinceKnown) },
-                            { "bytes", record.value->size() },
+                          { { "version", routes_->state().version },
+                            { "source", source },
+                            { "behind_ms", behindSince ? toMilliseconds(context_.now() - *behindSince) : 0 },
                             { "routes", routes_->state().routes.size() },
                             { "services", routes_->state().services.size() } });
-    return true;
+    stateExchange_.setCurrent({ routes_, position });
 }
 
 void FleetState::applyEndpoint(const StoreRecord &record)
@@ -334,6 +364,17 @@
     store_.remove(quarantineKey(name), [] {});
 }
 
+bool FleetState::isOverdue() const
+{
+    const auto behindSince = stateExchange_.behindSince();
+    return behindSince && context_.now() - *behindSince >= context_.settings.stateApplyTimeout - overdueMargin;
+}
+
+bool FleetState::mayBeOutdated(std::string_view host, std::string_view key) const
+{
+    return isOverdue() && stateExchange_.mayAffect(routes_->routedHost(host), key);
+}
+
 bool FleetState::markLeaving(const routing::EndpointLifetime &lifetime, std::string_view source)
 {
     if (!endpoints_.markDraining(lifetime, context_.now())) {
@@ -372,8 +413,7 @@
 void FleetState::publishView()
 {
     const bool isStoreAvailable = !replicas_[Topic::Operator].isStoreLost && !replicas_[Topic::Endpoints].isStoreLost;
-    links_.setView(routes_ ? routes_->state().version.value() : 0,
-                   replicas_[Topic::Operator].end.packed(),
+    links_.setView(stateExchange_.currentVersion(),
                    replicas_[Topic::Endpoints].end.packed(),
                    readsStore_ && isStoreAvailable && isLoaded());
 }
@@ -381,7 +421,8 @@
 /** Returns whether this VM is one of the VMs that read the store for all. */
 bool FleetState::isStoreReader() const
 {
-    return links_.isResponsible("store", storeReaderCount);
+    const auto readers = links_.storeReaders();
+    return std::find(readers.begin(), readers.end(), context_.settings.vm) != readers.end();
 }
 
 /** Returns whether a live VM reports that it reads the store successfully. */
@@ -414,7 +455,7 @@
 
 void FleetState::pushRecords(Topic topic, LogPosition start, const std::vector<StoreRecord> &records)
 {
-    if (topic == Topic::Vms || !readsStore_ || !isStoreReader()) {
+    if (topic != Topic::Endpoints || !readsStore_ || !isStoreReader()) {
         return;
     }
     RecordsPush push { topic, start.packed(), {} };
@@ -429,7 +470,7 @@
 void FleetState::handlePushedRecords(const VmId &vm, const RecordsPush &push)
 {
     const Topic topic = push.topic;
-    if (topic != Topic::Operator && topic != Topic::Endpoints) {
+    if (topic != Topic::Endpoints) {
         return;
     }
     const TopicReplica &replica = replicas_[topic];
@@ -456,24 +497,8 @@
 
 void FleetState::handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat)
 {
-    const std::uint64_t version = routes_ ? routes_->state().version.value() : 0;
-    const TopicReplica &operatorReplica = replicas_[Topic::Operator];
-    const std::uint64_t operatorEnd = operatorReplica.end.packed();
-    const bool isBehind = heartbeat.stateVersion > version || heartbeat.operatorEndOffset > operatorEnd;
-    if (const StateVersion announced(heartbeat.stateVersion); announced > latestKnownVersion_) {
-        latestKnownVersion_ = announced;
-        latestKnownSince_ = context_.now();
-        if (heartbeat.stateVersion > version) {
-            context_.logger.state("newer desired state known",
-                                  { { "version", announced }, { "in_force", version }, { "vm", vm } });
-        }
-    }
-    if (heartbeat.stateVersion > version && heartbeat.operatorEndOffset <= operatorEnd) {
-        // The store has lost this version, so no record that it still gives can catch up with the other VM.
-        requestRecords(Topic::Operator, vm, LogPosition());
-    } else if (isBehind && (operatorReplica.isStoreLost || !routes_ || !readsStore_)) {
-        requestRecords(Topic::Operator, vm, operatorReplica.end);
-    }
+    stateExchange_.handleVersion(
+        vm, { StateVersion(heartbeat.stateVersion), heartbeat.stateDigest, heartbeat.operatorEndOffset }, std::nullopt);
     const TopicReplica &endpointReplica = replicas_[Topic::Endpoints];
     if (heartbeat.endpointsEndOffset > endpointReplica.end.packed()
         && (endpointReplica.isStoreLost || !endpointsLoaded_ || !readsStore_)) {
@@ -485,14 +510,16 @@
 {
     TopicReplica &replica = replicas_[topic];
     const Time now = context_.now();
-    if (replica.lastPeerRequestAt && now - *replica.lastPeerRequestAt < minPeerRequestInterval) {
+    const bool isTooSoon = replica.lastPeerRequestAt && now - *replica.lastPeerRequestAt < minPeerRequestInterval;
+    if (replica.isRequestedFromPeer || isTooSoon) {
         return;
     }
     replica.lastPeerRequestAt = now;
-    const RecordsRequest request { topic, start.packed() };
-    peer::CallHandlers handlers;
-    handlers.onData = [this, topic, vm, now](const std::string &message) {
-        const auto response = wire::decode<RecordsResponse>(message);
+    replica.isRequestedFromPeer = true;
+    BulkHandlers handlers;
+    handlers.onReceived = [this, topic, vm, now](const std::string &bytes) {
+        replicas_[topic].isRequestedFromPeer = false;
+        const auto response = wire::decode<RecordsResponse>(bytes);
         if (!response) {
             context_.logger.warn("malformed records", { { "vm", vm }, { "error", response.error().detail } });
             return;
@@ -501,24 +528,27 @@
                               { { "topic", topicName(topic) },
                                 { "vm", vm },
                                 { "records", response.value().records.size() },
-                                { "bytes", message.size() },
+                                { "bytes", bytes.size() },
                                 { "ms", toMilliseconds(context_.now() - now) } });
         if (topic == Topic::Endpoints) {
             endpointsLoaded_ = true;
         }
         applyPeerRecords(topic, response.value());
     };
-    handlers.onFailed = [this, topic, vm, now](const Error &error, bool) {
+    handlers.onFailed = [this, topic, vm, now](const Error &error, std::size_t receivedBytes) {
+        replicas_[topic].isRequestedFromPeer = false;
         context_.logger.warn("records not received from vm",
                              { { "topic", topicName(topic) },
                                { "vm", vm },
                                { "error", toText(error.kind) },
+                               { "bytes", receivedBytes },
                                { "ms", toMilliseconds(context_.now() - now) } });
     };
-    links_.call(vm, encodeMessage(MessageKind::Records, request), recordCallLimits, std::move(handlers));
+    const RecordsRequest request { topic, start.packed() };
+    requestBulk(links_, vm, encodeMessage(MessageKind::Records, request), maxRecordsBytes, std::move(handlers));
 }
 
-void FleetState::serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer) const
+void FleetState::serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer)
 {
     RecordsResponse response;
     const auto replica = replicas_.find(request.topic);
@@ -530,8 +560,7 @@
             }
         }
     }
-    writer.write(wire::encode(response));
-    writer.end();
+    recordResponses_.send(std::make_shared<const std::string>(wire::encode(response)), std::move(writer));
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "bulk_response.h"
 #include "context.h"
 #include "fleet_links.h"
+#include "state_exchange.h"
 
 #include <routing/routing.h>
 
@@ -15,9 +17,10 @@
 /**
  * This VM's replica of the desired state and the endpoint registrations.
  *
- * A few VMs, the readers, read the store and push new records to all others. A VM reads the store itself if no live VM
- * reports that it reads the store successfully. While the store does not respond to it either, it requests records from
- * any VM whose replica is more up to date. A desired state is never replaced by an older version.
+ * A few VMs, the readers, read the store. They push new endpoint registrations to all others and announce new desired
+ * states, which the others request by StateExchange. A VM reads the store itself if no live VM reports that it reads
+ * the store successfully. While the store does not respond to it either, it requests registrations from any VM whose
+ * replica is more up to date. A desired state is never replaced by an older version.
  *
  * The store may come back from an older copy. What this VM knows stays in force then: the desired state, and which
  * endpoints have ended or are draining. This VM writes its own records again.
@@ -57,6 +60,19 @@
         return routes_ != nullptr && endpointsLoaded_;
     }
 
+    /**
+     * Returns whether a newer desired state should be in force by now than the one that this VM has. Readiness checks
+     * fail then, so that callers' new connections go to other VMs.
+     */
+    bool isOverdue() const;
+    /**
+     * Returns whether the state that is overdue may answer a request differently. Without news of what has changed it
+     * may do so for any request.
+     *
+     * @param host of the request @param key of the request; empty if there is none
+     */
+    bool mayBeOutdated(std::string_view host, std::string_view key) const;
+
     /**
      * Makes a lifetime of an endpoint unavailable that has said that it leaves.
      *
@@ -67,8 +83,22 @@
 
     /** Requests records from another VM if its heartbeat shows that its replica is more up to date. */
     void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
-    /** Responds to a request of another VM for records. */
-    void serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer) const;
+    /** Handles the announcement of a desired state that is in force on another VM. */
+    void handleStateAnnounced(const VmId &vm, const StateAnnouncement &announcement)
+    {
+        stateExchange_.handleVersion(vm, announcement.version, announcement.impact);
+    }
+    /** Responds to a request of another VM for the desired state. */
+    void serveState(const StateRequest &request, peer::PeerCallWriter writer)
+    {
+        stateExchange_.serve(request, std::move(writer));
+    }
+    void expire(Time now)
+    {
+        stateExchange_.expire(now);
+    }
+    /** Responds to a request of another VM for endpoint registrations. */
+    void serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer);
     /** Applies records that another VM has read and pushed. */
     void handlePushedRecords(const VmId &vm, const RecordsPush &push);
 
@@ -79,6 +109,7 @@
         userplatform::LogPosition end; ///< position up to which the topic is known
         bool isStoreLost = false;
         std::optional<Time> lastPeerRequestAt;
+        bool isRequestedFromPeer = false;
     };
 
     void watch(userplatform::Topic topic, const userplatform::WatchOptions &times);
@@ -92,8 +123,9 @@
     static void markRemoved(TopicReplica &replica,
                             const std::vector<userplatform::StoreRecord> &remaining,
                             userplatform::LogPosition end);
-    void applyDesiredState(TopicReplica &replica, const userplatform::StoreRecord &record);
-    bool acceptDesiredState(const userplatform::StoreRecord &record);
+    void applyDesiredStates(const std::vector<userplatform::StoreRecord> &records);
+    void logMalformedState(const userplatform::StoreRecord &record, const Error &error);
+    void putInForce(routing::DesiredState state, userplatform::LogPosition position, std::string_view source);
     void applyEndpoint(const userplatform::StoreRecord &record);
     void applyVm(const userplatform::StoreRecord &record);
     void applyQuarantine(std::string_view name, const std::string &value);
@@ -117,9 +149,9 @@
     userplatform::StoreClient store_;
     std::map<userplatform::Topic, TopicReplica> replicas_;
     std::shared_ptr<const routing::RouteTable> routes_;
+    StateExchange stateExchange_;
+    BulkResponses recordResponses_;
     routing::EndpointDirectory endpoints_;
-    routing::StateVersion latestKnownVersion_; ///< highest version that another VM has named
-    Time latestKnownSince_;
     bool endpointsLoaded_ = false;
     bool isDeregistered_ = false; ///< this VM leaves and has removed its address
     bool readsStore_ = true; ///< whether this VM reads the store itself
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -105,6 +105,7 @@
     state_.start();
     context_.loop.timers().every(context_.now() + housekeepingInterval, housekeepingInterval, [this](Time now) {
         loadBalancer_.prune(state_.endpoints());
+        state_.expire(now);
         prefixCache_.expire(now);
         poisonRequests_.expire(now);
         poisonPrompts_.expire(now);
@@ -182,7 +183,7 @@
         writer.respond(net::status::notFound, {}, {});
         return;
     }
-    const bool isReady = state_.isLoaded() && !stopRequestedAt_;
+    const bool isReady = state_.isLoaded() && !state_.isOverdue() && !stopRequestedAt_;
     writer.respond(isReady ? net::status::ok : net::status::unavailable, {}, {});
 }
 
@@ -233,6 +234,12 @@
     handlers.onRecordsPushed = [this](const VmId &from, const RecordsPush &push) {
         state_.handlePushedRecords(from, push);
     };
+    handlers.onStateAnnounced = [this](const VmId &vm, const StateAnnouncement &announcement) {
+        state_.handleStateAnnounced(vm, announcement);
+    };
+    handlers.onStateRequested = [this](const StateRequest &request, peer::PeerCallWriter writer) {
+        state_.serveState(request, std::move(writer));
+    };
     handlers.onRecords = [this](const RecordsRequest &request, peer::PeerCallWriter writer) {
         state_.serveRecords(request, std::move(writer));
     };
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <routing/routing.h>
 #include <userplatform/userplatform.h>
 #include <wire/wire.h>
 
@@ -52,6 +53,36 @@
     LACEWING_MEMBERS(vm, incarnation, limits)
 };
 
+/** Which desired state is in force on a VM. */
+struct StateVersionMessage {
+    routing::StateVersion version; ///< 0 if there is none
+    std::uint64_t digest = 0; ///< of its contents; 0 if there is none
+    std::uint64_t position = 0; ///< after its record in the store
+
+    LACEWING_MEMBERS(version, digest, position)
+};
+/** Tells that a VM has read a desired state from the store. */
+struct StateAnnouncement {
+    StateVersionMessage version;
+    std::optional<routing::StateImpact> impact; ///< on the state that the VM had before
+
+    LACEWING_MEMBERS(version, impact)
+};
+/** Asks another VM for its desired state, once that is the wanted one or a later one. */
+struct StateRequest {
+    StateVersionMessage own; ///< in force on the VM that asks
+    std::uint64_t baseDigest = 0; ///< of the state that the response may build on; 0: none
+    StateVersionMessage wanted;
+
+    LACEWING_MEMBERS(own, baseDigest, wanted)
+};
+struct StateResponse {
+    std::uint64_t position = 0; ///< after the record of the state in the store
+    routing::StateDelta delta;
+
+    LACEWING_MEMBERS(position, delta)
+};
+
 /** Sent periodically by each VM to the others: reports that it is alive, and how up to date its view is. */
 struct Heartbeat {
     std::string vm;
@@ -62,7 +93,7 @@
     std::uint32_t periodMs = 0; ///< time until the receiver's next heartbeat from this VM
     double cpuShare = 1; ///< CPU cores that the VM may use
     std::uint64_t stateVersion = 0; ///< version of the desired state in force on the VM
-    std::uint64_t operatorEndOffset = 0; ///< offset up to which it has read the operator topic
+    std::uint64_t operatorEndOffset = 0; ///< offset after the record of that state
     std::uint64_t endpointsEndOffset = 0; ///< offset up to which it has read endpoint registrations
     std::vector<LoadMessage> loads; ///< of the cells that it coordinates
     std::vector<RejectedRequestMessage> rejectedRequests; ///< since its last heartbeat
@@ -70,6 +101,7 @@
     std::uint64_t suspectsDigest = 0; ///< of what it knows about requests and prompt parts in flight at several crashes
     double linkMbps = 0; ///< bandwidth of its link; 0: unknown
     std::vector<RateLimitMessage> rateLimits; ///< that it knows
+    std::uint64_t stateDigest = 0; ///< of the contents of the desired state in force
 
     LACEWING_MEMBERS(vm,
                      zone,
@@ -86,7 +118,8 @@
                      isReadingStore,
                      suspectsDigest,
                      linkMbps,
-                     rateLimits)
+                     rateLimits,
+                     stateDigest)
 };
 
 /** One piece in a call to the VM that coordinates the piece's cell. */
@@ -277,7 +310,9 @@
     Suspects = 7,
     EndpointLeaving = 8,
     SuspectParts = 9,
-    RateLimits = 10
+    RateLimits = 10,
+    StateAnnouncement = 11,
+    State = 12
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -186,8 +186,8 @@
     const stages::CellId ownCell = cellOf(context_.settings.zone);
     if (routes && chooseCoordinator(ownCell, {}) == context_.settings.vm) {
         for (const auto &service : routes->state().services) {
-            if (service.batch) {
-                dispatcherFor(service.id, ownCell);
+            if (service->batch) {
+                dispatcherFor(service->id, ownCell);
             }
         }
     }
@@ -272,11 +272,11 @@
     }
     bool hasBatchService = false;
     for (const auto &service : routes->state().services) {
-        if (!service.batch) {
+        if (!service->batch) {
             continue;
         }
         std::set<AvailabilityZoneId> zones;
-        const auto &available = state_.endpoints().availableEndpoints(service.id);
+        const auto &available = state_.endpoints().availableEndpoints(service->id);
         for (const auto *entry : available) {
             zones.insert(entry->zone);
         }
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -10,7 +10,7 @@
 constexpr Duration connectTimeout = 400ms;
 /** Minimum interval between requests for suspects to other VMs. */
 constexpr Duration minSuspectsRequestInterval = 500ms;
-constexpr peer::CallLimits suspectsCallLimits { 300ms, 500ms, 500ms, 1s };
+constexpr std::size_t maxSuspectsBytes = std::size_t(4) << 20U;
 /** Time for which it is known which request a lost piece belongs to; longer than a crash is looked for. */
 constexpr Duration lostPieceTtl = 120s;
 
@@ -319,13 +319,16 @@
     const bool isTooSoon = lastSuspectsRequestAt_ && now - *lastSuspectsRequestAt_ < minSuspectsRequestInterval;
     // A digest is computed over all suspects, which is too much for each heartbeat, and most of them are equal.
     const bool isSame = heartbeat.suspectsDigest == lastDigest_;
-    if (isTooSoon || heartbeat.suspectsDigest == 0 || isSame || heartbeat.suspectsDigest == updateDigest()) {
+    if (areSuspectsRequested_ || isTooSoon || heartbeat.suspectsDigest == 0 || isSame
+        || heartbeat.suspectsDigest == updateDigest()) {
         return;
     }
     lastSuspectsRequestAt_ = now;
-    peer::CallHandlers handlers;
-    handlers.onData = [this, vm](const std::string &data) {
-        const auto response = wire::decode<SuspectsResponse>(data);
+    areSuspectsRequested_ = true;
+    BulkHandlers handlers;
+    handlers.onReceived = [this, vm](const std::string &bytes) {
+        areSuspectsRequested_ = false;
+        const auto response = wire::decode<SuspectsResponse>(bytes);
         if (!response) {
             context_.logger.warn("malformed suspects", { { "vm", vm }, { "error", response.error().detail } });
             return;
@@ -335,21 +338,22 @@
         }
         prompts_.handleParts(response.value().parts);
     };
-    handlers.onFailed = [this, vm](const Error &error, bool) {
-        context_.logger.warn("suspects not received", { { "vm", vm }, { "error", error.detail } });
+    handlers.onFailed = [this, vm](const Error &error, std::size_t receivedBytes) {
+        areSuspectsRequested_ = false;
+        context_.logger.warn("suspects not received",
+                             { { "vm", vm }, { "error", error.detail }, { "bytes", receivedBytes } });
     };
-    links_.call(vm, encodeMessage(MessageKind::Suspects), suspectsCallLimits, std::move(handlers));
+    requestBulk(links_, vm, encodeMessage(MessageKind::Suspects), maxSuspectsBytes, std::move(handlers));
 }
 
-void PoisonRequestGuard::serveSuspects(peer::PeerCallWriter writer) const
+void PoisonRequestGuard::serveSuspects(peer::PeerCallWriter writer)
 {
     SuspectsResponse response;
     for (const auto &suspect : suspects_.repeatedSuspects(context_.now())) {
         response.suspects.push_back(toMessage(suspect));
     }
     response.parts = prompts_.quarantinedParts();
-    writer.write(wire::encode(response));
-    writer.end();
+    suspectResponses_.send(std::make_shared<const std::string>(wire::encode(response)), std::move(writer));
 }
 
 std::uint64_t PoisonRequestGuard::updateDigest()
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulk_response.h"
 #include "context.h"
 #include "endpoint_notices.h"
 #include "fleet_links.h"
@@ -76,7 +77,7 @@
     /** Requests the suspects of another VM if they differ from those known here. */
     void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
     /** Responds to a request of another VM for the suspects known here. */
-    void serveSuspects(peer::PeerCallWriter writer) const;
+    void serveSuspects(peer::PeerCallWriter writer);
     /** Returns the digest for the next heartbeats. */
     std::uint64_t updateDigest();
     void expire(Time now);
@@ -115,6 +116,8 @@
     /** Endpoints with a connection attempt that is due or in progress, and what is called after it. */
     std::map<routing::EndpointLifetime, std::vector<std::function<void()>>> checkedEndpoints_;
     std::optional<Time> lastSuspectsRequestAt_;
+    bool areSuspectsRequested_ = false; ///< from another VM, which has not responded yet
+    BulkResponses suspectResponses_;
     std::uint64_t lastDigest_ = 0; ///< as of the last call of updateDigest()
     std::set<Fingerprint> storedQuarantines_; ///< written to the store or read from it
     telemetry::Counter crashCounter_;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -69,7 +69,13 @@
 bool RequestHandler::findRoute()
 {
     routes_ = shared_.state.routes();
-    route_ = routes_->findRoute(request_.header("Host").value_or(""), request_.target);
+    const auto host = request_.header("Host").value_or("");
+    route_ = routes_->findRoute(host, request_.target);
+    if (shared_.state.isOverdue()
+        && (route_ == nullptr || shared_.state.mayBeOutdated(host, facts_.apiKey.value_or("")))) {
+        reject(net::status::unavailable, "desired state overdue", defaultRetryAfter);
+        return false;
+    }
     if (route_ == nullptr) {
         reject(net::status::notFound, "no route", std::nullopt);
     }
@@ -79,7 +85,11 @@
 bool RequestHandler::authenticate()
 {
     keyHolder_ = facts_.apiKey ? routes_->findKeyHolder(*facts_.apiKey) : nullptr;
-    if (routes_->state().requiresKeys && !route_->isPublic && keyHolder_ == nullptr) {
+    if (routes_->state().general.requiresKeys && !route_->isPublic && keyHolder_ == nullptr) {
+        if (shared_.state.isOverdue()) {
+            reject(net::status::unavailable, "desired state overdue", defaultRetryAfter); // the key may be a new one
+            return false;
+        }
         reject(net::status::unauthorized, "unknown key", std::nullopt);
         return false;
     }
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -168,6 +168,11 @@
     return vms_[vm].ip + ":" + std::to_string(callersPort);
 }
 
+std::string Harness::linkAddress(std::size_t vm) const
+{
+    return vms_[vm].ip + ":" + std::to_string(firstInternalPort);
+}
+
 int Harness::readiness(std::size_t vm)
 {
     net::HttpCall call;
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -75,6 +75,13 @@
     }
     /** Returns the address where a VM listens for callers. */
     std::string callersAddress(std::size_t vm) const;
+    /** Returns the address where a VM listens for links from other VMs. */
+    std::string linkAddress(std::size_t vm) const;
+    /** Returns a loopback address of this test without a port. @param host 100 to 250 are free */
+    std::string networkAddress(std::size_t host) const
+    {
+        return ipOf(host);
+    }
     int readiness(std::size_t vm);
     void signal(std::size_t vm, int number);
     /** Returns the largest amount of memory that the process of a VM has used so far, in bytes. */
