--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -274,6 +274,11 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Endpoints
 
+/** Version of the software that an endpoint runs. Versions have no order. */
+using SoftwareVersion = Name<struct SoftwareVersionTag>;
+/** Returns the version, or "unknown". */
+std::string toText(const std::optional<SoftwareVersion> &version);
+
 /** State that an endpoint reports for itself. */
 enum class Readiness : std::uint8_t {
     Ready,
@@ -297,6 +302,7 @@
     std::string address; ///< ip:port
     std::size_t slots = 1;
     Readiness readiness = Readiness::Ready;
+    std::optional<SoftwareVersion> softwareVersion; ///< empty if it is unknown
 
     bool operator==(const EndpointEntry &) const = default;
     EndpointLifetime lifetime() const
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+std::string toText(const std::optional<SoftwareVersion> &version)
+{
+    return version ? version->text() : "unknown";
+}
+
 EndpointDirectory::EndpointDirectory(Duration gracePeriod)
     : gracePeriod_(gracePeriod)
 {
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -292,6 +292,7 @@
 void FleetState::applyEndpoint(const StoreRecord &record)
 {
     const EndpointId id(record.key);
+    std::optional<routing::SoftwareVersion> softwareVersion;
     auto change = routing::DirectoryChange::None;
     if (record.value) {
         const auto entry = userplatform::parseEndpointEntry(record.key, *record.value);
@@ -300,6 +301,7 @@
             context_.logger.warn("malformed endpoint entry", { { "endpoint", id }, { "error", entry.error().detail } });
             change = endpoints_.remove(id, context_.now());
         } else {
+            softwareVersion = entry.value().softwareVersion;
             change = endpoints_.update(entry.value(), context_.now());
         }
     } else {
@@ -307,7 +309,10 @@
     }
     switch (change) {
     case routing::DirectoryChange::Joined:
-        context_.logger.state("endpoint joined", { { "endpoint", id }, { "offset", record.position.offset() } });
+        context_.logger.state("endpoint joined",
+                              { { "endpoint", id },
+                                { "offset", record.position.offset() },
+                                { "software_version", toText(softwareVersion) } });
         break;
     case routing::DirectoryChange::Draining:
         context_.logger.state("endpoint leaving", { { "endpoint", id }, { "offset", record.position.offset() } });
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -346,6 +346,7 @@
                                 { "route", route_->id },
                                 { "reason", reason },
                                 { "attempts", attemptCount_ },
+                                { "software_version", toText(attempt_->entry().softwareVersion) },
                                 { "after_event", lastEventId_ } },
                               now());
     if (stages_ && !stages_->hasResults()) {
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -321,6 +321,8 @@
           { "first_byte_ms", timeToFirstByte ? toMilliseconds(*timeToFirstByte) : -1 },
           { "attempts", attemptCount_ },
           { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() },
+          { "software_version", attempt_ ? toText(attempt_->entry().softwareVersion) : std::string() },
+          { "resumes", facts_.resumedRequest.value_or(stages::RequestId()) },
           { "framing", attempt_ && timeToFirstByte ? toText(attempt_->head().framing) : std::string_view() },
           { "inside_event", isInsideEvent() },
           { "prompt_parts", toText(facts_.promptParts) } },
