--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -63,9 +63,10 @@
 
 platform_standin::Endpoint &Harness::addEndpoint(const std::string &id,
                                                  const std::string &service,
-                                                 platform_standin::Endpoint::Behaviour behaviour)
+                                                 platform_standin::Endpoint::Behaviour behaviour,
+                                                 const std::string &softwareVersion)
 {
-    const platform_standin::Endpoint::Identity identity { id, service, "a" };
+    const platform_standin::Endpoint::Identity identity { id, service, "a", softwareVersion };
     endpoints_.push_back(std::make_unique<platform_standin::Endpoint>(loop_, ipOf(2), identity));
     auto &endpoint = *endpoints_.back();
     cr_assert(endpoint.start().has_value());
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -42,7 +42,8 @@
 
     platform_standin::Endpoint &addEndpoint(const std::string &id,
                                             const std::string &service,
-                                            platform_standin::Endpoint::Behaviour behaviour);
+                                            platform_standin::Endpoint::Behaviour behaviour,
+                                            const std::string &softwareVersion = "v1");
     platform_standin::RawEndpoint &addRawEndpoint(const std::string &id,
                                                   const std::string &service,
                                                   platform_standin::RawEndpoint::Script script);
--- /dev/null
+++ b/tools/gateway/tests/software_version_test.cpp
@@ -0,0 +1,302 @@
+#include "requests.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace lacewing;
+using namespace lacewing::gateway_test;
+using namespace lacewing::platform_standin;
+using Behaviour = Endpoint::Behaviour;
+
+namespace
+{
+
+constexpr const char *resumableTarget = "/resumable/x";
+
+/** Some VMs, and engines of several software versions. */
+struct Fleet {
+    Fleet(std::size_t vms, const std::vector<std::string> &versions)
+        : harness(vms)
+        , vmCount(vms)
+    {
+        for (const auto &version : versions) {
+            engines.push_back(
+                &harness.addEndpoint("g" + std::to_string(engines.size() + 1), "engine", Behaviour::Stream, version));
+        }
+        harness.store().publishDesiredState(makeState(1, allRoutes()));
+        harness.start();
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            harness.waitForLogLines({ vm }, "\"endpoint joined\"", versions.size());
+        }
+        harness.waitForLinks();
+    }
+
+    /** Begins a stream that breaks off after its second event. @return its request id */
+    std::string beginStream(std::size_t vm, Endpoint &engine)
+    {
+        for (auto *other : engines) {
+            other->setBehaviour(other == &engine ? Behaviour::TruncateStream : Behaviour::Reject);
+        }
+        std::string id;
+        harness.waitFor(
+            [&] {
+                id = "begin-" + std::to_string(++requests);
+                const auto before = engine.executionCount();
+                const auto response = harness.sendAndWait(vm, "POST", resumableTarget, headers(id), "b");
+                return engine.executionCount() > before && !response.isComplete;
+            },
+            "a stream that breaks off");
+        for (auto *other : engines) {
+            other->setBehaviour(Behaviour::Stream);
+        }
+        return id;
+    }
+
+    /** Takes a stream up after its second event, as its caller does. */
+    Response takeUp(std::size_t vm, const std::string &resumed, const std::string &apiKey = key)
+    {
+        const auto id = "again-" + std::to_string(++requests);
+        return harness.sendAndWait(
+            vm,
+            "POST",
+            resumableTarget,
+            requestHeaders({ .id = id, .apiKey = apiKey, .resumedRequest = resumed, .lastEventId = "2" }),
+            "b");
+    }
+
+    /** Returns the number of streams that an engine has gone on with. */
+    static std::size_t resumptions(const Endpoint &engine)
+    {
+        const auto &received = engine.receivedRequests();
+        return static_cast<std::size_t>(std::count_if(received.begin(), received.end(), [](const auto &request) {
+            return request.wasExecuted && !request.lastEventId().empty();
+        }));
+    }
+
+    Harness harness;
+    std::size_t vmCount;
+    std::vector<Endpoint *> engines;
+    int requests = 0;
+};
+
+struct AnswerCase {
+    char name[40];
+    char first[8]; ///< version of the engine that breaks off the stream
+    char second[8]; ///< of the only other engine
+    bool goesOn;
+};
+
+AnswerCase answerCases[] = {
+    { "same version", "v1", "v1", true },
+    { "another version", "v1", "v1.2", false },
+    { "version that begins with the other", "v1", "v10", false },
+    { "the other is unknown", "v1", "", false },
+    { "the first is unknown", "", "v1", false },
+    { "both are unknown", "", "", false },
+    { "the other is no text", "v1", "7", false },
+};
+
+} // namespace
+
+ParameterizedTestParameters(softwareVersion, streamGoesOnWithinAnAnswerAtItsVersionOnly)
+{
+    return cr_make_param_array(AnswerCase, answerCases, std::size(answerCases));
+}
+
+ParameterizedTest(AnswerCase *test, softwareVersion, streamGoesOnWithinAnAnswerAtItsVersionOnly)
+{
+    Fleet f(1, { test->first, test->second });
+    f.engines[0]->setBehaviour(Behaviour::TruncateStream);
+    std::optional<Response> response;
+    f.harness.waitFor(
+        [&] {
+            const auto before = f.engines[0]->executionCount();
+            const auto id = "id-" + std::to_string(++f.requests);
+            response = f.harness.sendAndWait(0, "POST", resumableTarget, headers(id), "b");
+            return f.engines[0]->executionCount() > before;
+        },
+        "a stream that breaks off");
+    cr_assert_eq(response->isComplete, test->goesOn, "%s", test->name);
+    cr_assert_eq(Fleet::resumptions(*f.engines[1]) > 0, test->goesOn, "%s: wrong engine asked to go on", test->name);
+}
+
+/** Until its first event, a stream may run anywhere. */
+Test(softwareVersion, streamWithoutEventsMayBeginAtAnotherVersion)
+{
+    Fleet f(1, { "v1", "v2" });
+    f.engines[0]->setBehaviour(Behaviour::CloseConnection);
+    std::size_t complete = 0;
+    f.harness.waitFor(
+        [&] {
+            const auto id = "id-" + std::to_string(++f.requests);
+            complete += f.harness.sendAndWait(0, "POST", resumableTarget, headers(id), "b").isComplete ? 1 : 0;
+            return f.engines[0]->executionCount() > 0;
+        },
+        "a request at the engine that closes");
+    cr_assert_eq(complete, std::size_t(f.requests), "a stream without events was not retried");
+}
+
+namespace
+{
+
+enum class Interruption : std::uint8_t { None, VmKilled, VmFrozen, VmRestarted };
+
+struct TryCase {
+    char name[40];
+    std::size_t vms;
+    std::size_t next; ///< VM at which the caller's next try arrives
+    Interruption interruption; ///< of the VM at which the stream began, before that
+};
+
+TryCase tryCases[] = {
+    { "at the same vm", 3, 0, Interruption::None },
+    { "at another vm", 3, 1, Interruption::None },
+    { "after the vm was killed", 4, 2, Interruption::VmKilled },
+    { "while the vm is frozen", 4, 3, Interruption::VmFrozen },
+    { "at the vm after its restart", 4, 0, Interruption::VmRestarted },
+};
+
+} // namespace
+
+ParameterizedTestParameters(softwareVersion, streamGoesOnOverTriesAtItsVersionOnly)
+{
+    return cr_make_param_array(TryCase, tryCases, std::size(tryCases));
+}
+
+ParameterizedTest(TryCase *test, softwareVersion, streamGoesOnOverTriesAtItsVersionOnly)
+{
+    constexpr std::size_t streams = 8;
+    Fleet f(test->vms, { "v1", "v2", "v2" });
+    std::vector<std::string> begun;
+    for (std::size_t stream = 0; stream < streams; ++stream) {
+        begun.push_back(f.beginStream(0, *f.engines[0]));
+    }
+    switch (test->interruption) {
+    case Interruption::None:
+        break;
+    case Interruption::VmKilled:
+        f.harness.signal(0, SIGKILL);
+        break;
+    case Interruption::VmFrozen:
+        f.harness.signal(0, SIGSTOP);
+        break;
+    case Interruption::VmRestarted:
+        f.harness.signal(0, SIGKILL);
+        f.harness.waitFor([&] { return f.harness.hasEnded(0); }, "the end of the vm");
+        f.harness.start(0, 1);
+        f.harness.waitForLogLines({ 0 }, "\"endpoint joined\"", f.engines.size());
+        f.harness.waitForLogLines({ 0 }, "\"vm live\"", test->vms - 1);
+        break;
+    }
+    std::size_t goneOn = 0;
+    for (const auto &id : begun) {
+        // A try may come again, and names the request that brought the first event each time.
+        for (int count = 0; count < 2; ++count) {
+            goneOn += f.takeUp(test->next, id).isComplete ? 1 : 0;
+        }
+    }
+    cr_expect_eq(Fleet::resumptions(*f.engines[1]) + Fleet::resumptions(*f.engines[2]),
+                 0U,
+                 "%s: streams went on at another version",
+                 test->name);
+    cr_expect_eq(goneOn, 2 * streams, "%s: %zu of %zu tries went on", test->name, goneOn, 2 * streams);
+}
+
+namespace
+{
+
+struct RefusalCase {
+    char name[40];
+    char resumed[16]; ///< request named by the try; empty: the stream that began
+    char apiKey[8];
+    bool firstVersionLeaves;
+};
+
+RefusalCase refusalCases[] = {
+    { "unknown request", "never-seen", "k", false },
+    { "no request named", "-", "k", false },
+    { "stream of another workspace", "", "k2", false },
+    { "no endpoint of the version left", "", "k", true },
+};
+
+} // namespace
+
+ParameterizedTestParameters(softwareVersion, streamThatCannotGoOnIsRefusedAtOnce)
+{
+    return cr_make_param_array(RefusalCase, refusalCases, std::size(refusalCases));
+}
+
+ParameterizedTest(RefusalCase *test, softwareVersion, streamThatCannotGoOnIsRefusedAtOnce)
+{
+    Fleet f(3, { "v1", "v2" });
+    auto state = makeState(2, allRoutes());
+    state.otherWorkspaces = { { "w2", "k2" } };
+    f.harness.store().publishDesiredState(state);
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"desired state in force\"", 2);
+    }
+    const auto begun = f.beginStream(0, *f.engines[0]);
+    if (test->firstVersionLeaves) {
+        f.harness.store().registerEndpoint(*f.engines[0], true);
+        for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+            f.harness.waitForLogLines({ vm }, "\"endpoint leaving\"", 1);
+        }
+    }
+    const std::string named = test->resumed;
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        const auto response = f.takeUp(vm, named.empty() ? begun : named == "-" ? "" : named, test->apiKey);
+        cr_expect_eq(response.status, net::status::unavailable, "%s: status %d", test->name, response.status);
+        cr_expect(findRetryAfter(response.headers).has_value(), "%s: no Retry-After", test->name);
+    }
+    cr_expect_eq(Fleet::resumptions(*f.engines[0]) + Fleet::resumptions(*f.engines[1]), 0U, "%s", test->name);
+}
+
+/** Where one version serves, every try goes on, also of a stream that nobody knows any more. */
+Test(softwareVersion, singleVersionGoesOnWithoutKnowingTheStream)
+{
+    Fleet f(3, { "v1", "v1" });
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        cr_expect(f.takeUp(vm, "never-seen").isComplete, "refused at vm %zu", vm);
+    }
+}
+
+/** A stream that began before a second version came stays at its own. */
+Test(softwareVersion, streamOfBeforeAReleaseStaysAtItsVersion)
+{
+    Fleet f(3, { "v1" });
+    const auto begun = f.beginStream(0, *f.engines[0]);
+    f.engines.push_back(&f.harness.addEndpoint("g2", "engine", Behaviour::Stream, "v2"));
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 2);
+    }
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        cr_expect(f.takeUp(vm, begun).isComplete, "refused at vm %zu", vm);
+    }
+    cr_expect_eq(Fleet::resumptions(*f.engines[1]), 0U);
+}
+
+/** An endpoint that crashed may come back under its id with another version before the directory says so. */
+Test(softwareVersion, endpointThatRestartedIsNotTakenForItsFormerLifetime)
+{
+    Fleet f(2, { "v1", "v2" });
+    f.engines[0]->setBehaviour(Behaviour::CrashInStream);
+    std::string begun;
+    f.harness.waitFor(
+        [&] {
+            begun = "begin-" + std::to_string(++f.requests);
+            const auto before = f.engines[0]->executionCount();
+            f.harness.sendAndWait(0, "POST", resumableTarget, headers(begun), "b");
+            return f.engines[0]->executionCount() > before;
+        },
+        "a stream at the engine that crashes");
+    cr_assert(f.engines[0]->restart(18, "v2").has_value());
+    f.engines[0]->setBehaviour(Behaviour::Stream);
+    const auto before = Fleet::resumptions(*f.engines[0]);
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        cr_expect_eq(f.takeUp(vm, begun).status, net::status::unavailable, "vm %zu", vm);
+    }
+    cr_expect_eq(Fleet::resumptions(*f.engines[0]), before, "went on at the next lifetime");
+}
