Gateway: a transfer of a state that fails when nothing is lacking any more ends no process

Cause: the log line of a transfer that fails named the latest version that the VM lacks, and there is none if the state has come from the store meanwhile. Test: stateExchange::transferThatFailsWhenNothingIsLackingIsHarmless, timed out before as the gateway had ended; passes now (stateExchange 9 passed).

--- a/tools/gateway/src/state_exchange.cpp
+++ b/tools/gateway/src/state_exchange.cpp
@@ -209,7 +209,7 @@
 {
     const auto own = currentVersion();
     const StateRequest request { own, needsComplete_ ? 0 : own.digest, lacking_.back().version };
-    download_ = Download { source, context_.now() };
+    download_ = Download { source, request.wanted.version, context_.now() };
     BulkHandlers handlers;
     handlers.onReceived = [this](const std::string &bytes) { finishDownload(bytes); };
     handlers.onFailed = [this](const Error &error, std::size_t receivedBytes) {
@@ -222,7 +222,7 @@
 {
     context_.logger.warn("desired state not received",
                          { { "vm", download_->source },
-                           { "version", lacking_.back().version.version },
+                           { "version", download_->wanted },
                            { "error", reason },
                            { "bytes", receivedBytes },
                            { "ms", toMilliseconds(context_.now() - download_->startedAt) } });
--- a/tools/gateway/src/state_exchange.h
+++ b/tools/gateway/src/state_exchange.h
@@ -81,6 +81,7 @@
     };
     struct Download {
         VmId source;
+        routing::StateVersion wanted;
         Time startedAt;
     };
     struct EncodedDelta {
--- a/tools/gateway/tests/state_exchange_test.cpp
+++ b/tools/gateway/tests/state_exchange_test.cpp
@@ -97,6 +97,22 @@
     }
 }
 
+/** A transfer may fail after the state has come from the store. */
+Test(stateExchange, transferThatFailsWhenNothingIsLackingIsHarmless)
+{
+    Fixture f;
+    f.fake.setAnswers({ Answer::SilentMidway });
+    f.fake.setState(stateOf(newVersion));
+    f.harness.waitFor([&] { return f.fake.requestCount() > 0; }, "a request for the state");
+    auto state = stateOf(newVersion);
+    state.version = newVersion + 1;
+    f.harness.store().publishDesiredState(state);
+    f.harness.waitFor([&] { return f.statusOf("added", "new-key") == net::status::ok; }, "the state from the store");
+    f.harness.waitForLogLines({ 0 }, "\"desired state not received\"", 1);
+    cr_assert_eq(f.statusOf("added", "new-key"), net::status::ok, "the gateway has ended");
+    cr_assert_not(f.harness.hasEnded(0));
+}
+
 /** What the new version may answer differently is refused, and the rest is served. */
 Test(stateExchange, overdueStateAnswersOnlyWhatHasNotChanged)
 {
