Gateway: what has changed since a state that was replaced meanwhile is requested again without a failure

Now such a response is dropped and the request repeated on the new base. Test: a row of stateExchange::stateIsTakenHoweverItsSourceAnswers (other base, then complete).

--- a/tools/gateway/src/state_exchange.cpp
+++ b/tools/gateway/src/state_exchange.cpp
@@ -239,6 +239,14 @@
         return;
     }
     const auto &delta = response.value().delta;
+    const auto position = LogPosition::fromPacked(response.value().position);
+    const bool isOvertaken = !isNewer(delta.version, delta.digest, position);
+    if (isOvertaken || (delta.baseDigest != 0 && delta.baseDigest != currentDigest_)) {
+        // Another state came from the store meanwhile.
+        download_.reset();
+        update();
+        return;
+    }
     auto state = routing::applyDelta(current_.table ? &current_.table->state() : nullptr, delta);
     if (!state) {
         needsComplete_ = true;
@@ -252,12 +260,7 @@
                             { "bytes", bytes.size() },
                             { "ms", toMilliseconds(context_.now() - download_->startedAt) } });
     download_.reset();
-    const auto position = LogPosition::fromPacked(response.value().position);
-    if (isNewer(delta.version, delta.digest, position)) {
-        onReceived_(std::move(state.value()), position);
-    } else {
-        update(); // a newer one came from the store meanwhile
-    }
+    onReceived_(std::move(state.value()), position);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- /dev/null
+++ b/tools/gateway/src/stream_origins.cpp
@@ -0,0 +1,305 @@
+#include "stream_origins.h"
+
+#include "bulk_response.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lacewing::gateway
+{
+namespace
+{
+
+using routing::StreamKey;
+using routing::StreamOrigin;
+
+/** Time for which what is told is gathered, so that a VM gets one message for several streams. */
+constexpr Duration flushDelay = 20ms;
+/** Delay before a lookup is repeated: a caller may come back before the VMs have been told. */
+constexpr Duration secondRoundDelay = 100ms;
+constexpr int maxRounds = 2;
+constexpr std::size_t minHolders = 3;
+/** Zones that hold an origin beside that of the VM at which the stream began; bounds what is told in fleets of many. */
+constexpr std::size_t maxHolderZones = 3;
+constexpr std::size_t maxResponseBytes = 4'096;
+/** A caller waits for a lookup: a VM that is frozen or cut off must not take long. */
+constexpr peer::CallLimits lookupLimits { 150ms, 200ms, 200ms, 300ms };
+/** Streams whose origin is held: at 370 VMs in seven zones and 4,600 streams a second, a VM is told of 90 a second,
+ * which are held for a minute at most. */
+constexpr std::size_t maxHeldOrigins = 20'000;
+/** Streams begun at one VM: some 13 a second at that size. */
+constexpr std::size_t maxOwnStreams = 5'000;
+
+} // namespace
+
+std::vector<VmId> originHolders(StreamKey stream,
+                                std::span<const OriginHolder> candidates,
+                                const AvailabilityZoneId &ownZone,
+                                std::size_t perZone)
+{
+    const std::string key = std::to_string(stream.value());
+    std::set<std::string> zoneNames;
+    std::vector<std::string> names;
+    for (const auto &candidate : candidates) {
+        zoneNames.insert(candidate.zone.text());
+        names.push_back(candidate.vm.text());
+    }
+    const std::vector<std::string> zones(zoneNames.begin(), zoneNames.end());
+    std::set<std::string> chosenZones { ownZone.text() };
+    for (const auto index : rendezvous(key, zones, maxHolderZones)) {
+        chosenZones.insert(zones[index]);
+    }
+    std::map<AvailabilityZoneId, std::size_t> counts;
+    std::vector<VmId> chosen;
+    std::vector<VmId> others;
+    for (const auto index : rendezvous(key, names, names.size())) {
+        const auto &candidate = candidates[index];
+        const bool isChosen = chosenZones.contains(candidate.zone.text()) && ++counts[candidate.zone] <= perZone;
+        (isChosen ? chosen : others).push_back(candidate.vm);
+    }
+    const std::size_t wanted = minHolders * perZone;
+    for (std::size_t index = 0; index < others.size() && chosen.size() < wanted; ++index) {
+        chosen.push_back(others[index]);
+    }
+    return chosen;
+}
+
+StreamOrigins::StreamOrigins(Context &context, FleetLinks &links, FleetState &state)
+    : context_(context)
+    , links_(links)
+    , state_(state)
+    , table_(maxHeldOrigins)
+    , toldCounter_(context.metrics.counter({ "stream_origins_told", "Origins of streams sent to other VMs" }))
+    , foundCounter_(context.metrics.counter({ "stream_origins_found", "Streams taken up whose origin was known" }))
+    , unknownCounter_(context.metrics.counter({ "stream_origins_unknown", "Streams taken up whose origin no VM knew" }))
+{
+}
+
+StreamKey StreamOrigins::keyOf(const stages::RequestId &request, const std::optional<WorkspaceId> &workspace)
+{
+    // A caller can't name a stream of another workspace.
+    return StreamKey(hashBytes(request.text(), workspace ? hashBytes(workspace->text()) : 0));
+}
+
+std::vector<VmId> StreamOrigins::holders(StreamKey stream, std::size_t perZone) const
+{
+    std::vector<OriginHolder> candidates;
+    for (const auto &vm : links_.members(std::nullopt)) {
+        candidates.push_back({ vm, links_.zoneOf(vm) });
+    }
+    return originHolders(stream, candidates, context_.settings.zone, perZone);
+}
+
+bool StreamOrigins::isSole(const routing::ServiceId &service) const
+{
+    return state_.soleVersion(service).has_value();
+}
+
+std::optional<StreamOrigin> StreamOrigins::soleOrigin(const routing::Route &route) const
+{
+    if (route.services.size() != 1) {
+        return std::nullopt;
+    }
+    const auto &service = route.services.front().service;
+    const auto version = state_.soleVersion(service);
+    return version ? std::optional(StreamOrigin { service, version }) : std::nullopt;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Telling
+
+void StreamOrigins::onBegun(StreamKey stream, const StreamOrigin &origin, bool isRouteSole, Time expiresAt)
+{
+    if (!origin.version || own_.size() >= maxOwnStreams) {
+        return;
+    }
+    const auto [own, isNew] = own_.try_emplace(stream, OwnStream { origin, expiresAt });
+    if (!isNew) {
+        return;
+    }
+    ++untold_;
+    if (!isRouteSole) {
+        tell(stream, own->second);
+    }
+}
+
+void StreamOrigins::onCompleted(StreamKey stream)
+{
+    if (const auto own = own_.extract(stream)) {
+        untold_ -= own.mapped().isTold ? 0 : 1;
+    }
+}
+
+void StreamOrigins::tell(StreamKey stream, OwnStream &own)
+{
+    own.isTold = true;
+    --untold_;
+    toldCounter_.add();
+    const Duration timeToLive = std::max<Duration>(own.expiresAt - context_.now(), Duration::zero());
+    for (const auto &vm : holders(stream, 1)) {
+        if (vm == context_.settings.vm) {
+            table_.insert(stream, own.origin, own.expiresAt);
+            continue;
+        }
+        auto &groups = outgoing_[vm].groups;
+        auto group = std::find_if(groups.begin(), groups.end(), [&](const auto &existing) {
+            return existing.service == own.origin.service && existing.version == own.origin.version;
+        });
+        if (group == groups.end()) {
+            group = groups.insert(groups.end(), { own.origin.service, *own.origin.version, {}, {} });
+        }
+        group->streams.push_back(stream);
+        group->timesToLiveMs.push_back(static_cast<std::uint32_t>(toMilliseconds(timeToLive)));
+    }
+    if (!outgoing_.empty() && !std::exchange(isFlushScheduled_, true)) {
+        context_.loop.timers().once(context_.now() + flushDelay, [this](Time) { flush(); });
+    }
+}
+
+void StreamOrigins::flush()
+{
+    isFlushScheduled_ = false;
+    for (const auto &[vm, message] : std::exchange(outgoing_, {})) {
+        links_.send(vm, encodeMessage(MessageKind::StreamOrigins, message));
+    }
+}
+
+void StreamOrigins::update()
+{
+    if (untold_ == 0) {
+        return;
+    }
+    std::map<routing::ServiceId, bool> isToldByService;
+    for (auto &[stream, own] : own_) {
+        const auto [isTold, isFirst] = isToldByService.try_emplace(own.origin.service);
+        if (isFirst) {
+            isTold->second = !isSole(own.origin.service);
+        }
+        if (!own.isTold && isTold->second) {
+            tell(stream, own);
+        }
+    }
+}
+
+void StreamOrigins::expire(Time now)
+{
+    table_.expire(now);
+    std::erase_if(own_, [&](const auto &item) {
+        const bool isExpired = item.second.expiresAt <= now;
+        untold_ -= isExpired && !item.second.isTold ? 1 : 0;
+        return isExpired;
+    });
+}
+
+void StreamOrigins::handleOrigins(const StreamOriginsMessage &message)
+{
+    for (const auto &group : message.groups) {
+        const StreamOrigin origin { group.service, group.version };
+        const auto count = std::min(group.streams.size(), group.timesToLiveMs.size());
+        for (std::size_t index = 0; index < count; ++index) {
+            table_.insert(
+                group.streams[index], origin, context_.now() + std::chrono::milliseconds(group.timesToLiveMs[index]));
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Looking up
+
+std::optional<StreamOrigin> StreamOrigins::findHere(StreamKey stream) const
+{
+    if (const auto own = own_.find(stream); own != own_.end() && own->second.expiresAt > context_.now()) {
+        return own->second.origin;
+    }
+    const auto *origin = table_.find(stream, context_.now());
+    return origin != nullptr ? std::optional(*origin) : std::nullopt;
+}
+
+void StreamOrigins::find(StreamKey stream, std::function<void(std::optional<StreamOrigin>)> onDone)
+{
+    if (const auto origin = findHere(stream)) {
+        foundCounter_.add();
+        onDone(origin);
+        return;
+    }
+    auto &lookup = lookups_[stream];
+    lookup.onDone.push_back(std::move(onDone));
+    if (lookup.onDone.size() == 1) {
+        ask(stream);
+    }
+}
+
+void StreamOrigins::ask(StreamKey stream)
+{
+    Lookup &lookup = lookups_[stream];
+    ++lookup.rounds;
+    std::vector<VmId> vms = holders(stream, 2);
+    std::erase(vms, context_.settings.vm);
+    lookup.pending = vms.size();
+    if (vms.empty()) {
+        finishRound(stream);
+        return;
+    }
+    for (const auto &vm : vms) {
+        BulkHandlers handlers;
+        handlers.onReceived = [this, stream](const std::string &bytes) {
+            const auto response = wire::decode<StreamOriginResponse>(bytes);
+            if (response && response.value().isKnown) {
+                finishLookup(stream, StreamOrigin { response.value().service, response.value().version });
+            } else {
+                finishRound(stream);
+            }
+        };
+        handlers.onFailed = [this, stream](const Error &, std::size_t) { finishRound(stream); };
+        requestBulk(links_,
+                    vm,
+                    encodeMessage(MessageKind::StreamOrigin, StreamOriginRequest { stream }),
+                    maxResponseBytes,
+                    lookupLimits,
+                    std::move(handlers));
+    }
+}
+
+/** Called when a VM does not know a stream or does not respond. */
+void StreamOrigins::finishRound(StreamKey stream)
+{
+    const auto found = lookups_.find(stream);
+    if (found == lookups_.end() || (found->second.pending > 0 && --found->second.pending > 0)) {
+        return;
+    }
+    if (found->second.rounds >= maxRounds) {
+        finishLookup(stream, findHere(stream));
+        return;
+    }
+    context_.loop.timers().once(context_.now() + secondRoundDelay, [this, stream](Time) {
+        if (const auto origin = findHere(stream)) {
+            finishLookup(stream, origin);
+        } else if (lookups_.contains(stream)) {
+            ask(stream);
+        }
+    });
+}
+
+void StreamOrigins::finishLookup(StreamKey stream, const std::optional<StreamOrigin> &origin)
+{
+    const auto lookup = lookups_.extract(stream);
+    if (!lookup) {
+        return;
+    }
+    (origin ? foundCounter_ : unknownCounter_).add();
+    for (const auto &onDone : lookup.mapped().onDone) {
+        onDone(origin);
+    }
+}
+
+void StreamOrigins::serve(const StreamOriginRequest &request, peer::PeerCallWriter writer) const
+{
+    StreamOriginResponse response;
+    if (const auto origin = findHere(request.stream); origin && origin->version) {
+        response = { true, origin->service, *origin->version };
+    }
+    writer.write(wire::encode(response));
+    writer.end();
+}
+
+} // namespace lacewing::gateway
--- a/tools/gateway/tests/fake_vm.cpp
+++ b/tools/gateway/tests/fake_vm.cpp
@@ -93,6 +93,9 @@
     const Answer answer = answers_[std::min(requestCount_, answers_.size() - 1)];
     ++requestCount_;
     gateway::StateResponse response { recordPosition, routing::makeDelta(nullptr, state_) };
+    if (answer == Answer::OtherBase) {
+        response.delta.baseDigest = 1;
+    }
     if (answer == Answer::OtherThanNamed) {
         response.delta.digest += 1;
     }
@@ -100,6 +103,7 @@
     switch (answer) {
     case Answer::Complete:
     case Answer::OtherThanNamed:
+    case Answer::OtherBase:
         writer.write(bytes);
         writer.end();
         break;
--- a/tools/gateway/tests/fake_vm.h
+++ b/tools/gateway/tests/fake_vm.h
@@ -24,6 +24,7 @@
         Slow, ///< in pieces over more than two seconds
         SilentMidway, ///< half of it, and then nothing
         Corrupt, ///< complete, with one byte changed
+        OtherBase, ///< what has changed since a state that the gateway does not have
         OtherThanNamed, ///< a state with another digest than it says
         Refuse,
     };
--- a/tools/gateway/tests/state_exchange_test.cpp
+++ b/tools/gateway/tests/state_exchange_test.cpp
@@ -74,6 +74,7 @@
     { "silent midway, then complete", Answer::SilentMidway, Answer::Complete, 2, true },
     { "corrupt, then complete", Answer::Corrupt, Answer::Complete, 2, true },
     { "wrong digest, then complete", Answer::OtherThanNamed, Answer::Complete, 2, true },
+    { "other base, then complete", Answer::OtherBase, Answer::Complete, 2, false },
     { "refused, then complete", Answer::Refuse, Answer::Complete, 2, true },
 };
 
