Gateway: a stream goes on only at the software version that began it

Streams whose engine crashed went on at an engine of another software version, whose events don't fit; within one answer, and over the tries of a caller.

The class: what is interchangeable for a beginning was taken to be so for a continuation.

Now: a stream belongs to service and version of the endpoint that wrote its first event, and goes on only there. An endpoint whose version is missing or no text fits no stream. Before the first event any version will do. A caller's next try names the request that brought the first event, and may arrive at any VM: while a service has had one version for two minutes, nothing is sent and every try goes on. Otherwise VMs tell at the first event where the stream began, to one VM in the own zone and one in each of three zones; the first event does not wait for it. A VM that doesn't know a stream asks those, 0.3 s at most, once more after 0.1 s, and else refuses with 503 and Retry-After. Streams of another workspace are unknown. When a second version comes, VMs tell of the streams that they have begun. Certainty: a VM whose view may be out of date (store and readers away) takes no version for the only one. An endpoint to which a connection was lost or refused fits no stream until its registration must have told of its end, as it may be back under its id as another version. Versions of services that have several are in the store, as VMs that start can't see versions that have ended.

Weighed: telling all VMs (74 KB a second at 370 VMs); asking only when a stream is taken up (lost with the VM that began it); one holder in each zone (8,983 bytes a second at 370 VMs in seven zones, over the budget of 8 KB); a version chosen by a hash of the request (changes with the directory).

--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -4,8 +4,10 @@
 #include <wire/wire.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -371,6 +373,28 @@
 
     /** Returns the available endpoints of a service, sorted by id. Valid until the directory changes. */
     const std::vector<const EndpointEntry *> &availableEndpoints(const ServiceId &service) const;
+    /**
+     * Returns the software version of a service's endpoints if only one has served for `versionRetention`; empty if
+     * there were several, none or unknown ones.
+     */
+    std::optional<SoftwareVersion> soleVersion(const ServiceId &service) const;
+    /** Returns the versions that serve or have served for that long; an unknown one is missing. */
+    std::set<SoftwareVersion> versions(const ServiceId &service) const;
+    /** Records a version that served before this directory was created. */
+    void addEndedVersion(const ServiceId &service, const std::optional<SoftwareVersion> &version, Time now);
+    /** Records that a lifetime may have ended, as a connection to it was lost or refused. */
+    void markDoubtful(const EndpointLifetime &lifetime, Time now);
+    /** Records that a lifetime goes on although a connection to it was lost. */
+    void clearDoubt(const EndpointLifetime &lifetime);
+    /**
+     * Returns whether an endpoint certainly is of the lifetime that is registered, and so of its software version. One
+     * that has crashed may come back under its id with another version before its registration says so.
+     */
+    bool isCertain(const EndpointEntry &entry, Time now) const;
+
+    /** Time for which a version counts after its last endpoint has ended: callers come back to streams that long. */
+    static constexpr Duration versionRetention = std::chrono::minutes(2);
+
     /** Returns whether an endpoint's registration is gone or belongs to another incarnation. */
     bool hasEnded(const EndpointLifetime &lifetime) const;
     /** Returns null if the endpoint is unknown or unavailable. */
@@ -401,7 +425,14 @@
         bool wasDraining = false; ///< stays so even if it registers again
     };
 
+    struct Doubt {
+        Incarnation incarnation;
+        Time since;
+    };
+
     bool isAffectedByOutage(Time now) const noexcept;
+    void recordEndedVersion(const EndpointEntry &entry, Time now);
+    bool expireVersions(Time now);
     void recordEnd(const EndpointLifetime &lifetime, bool wasDraining, Time now);
     void recordEnd(const EndpointEntry &entry, Time now);
     std::optional<Time> holdTime(const EndpointEntry &entry, Time now) const;
@@ -413,12 +444,64 @@
     std::optional<Time> registryRestoredAt_;
     std::optional<Time> registryRolledBackAt_;
     std::unordered_map<EndpointId, EndedLifetime> endedLifetimes_;
+    std::unordered_map<EndpointId, Doubt> doubts_;
+    /** When the last endpoint of a version ended; an empty version is an unknown one. */
+    std::map<std::pair<ServiceId, std::optional<SoftwareVersion>>, Time> endedVersions_;
     std::uint64_t revision_ = 1;
     std::unordered_map<EndpointId, Record> records_;
     /** Cached results of availableEndpoints() as of indexedRevision_: they are read for each request, while entries
      * rarely change. */
     mutable std::unordered_map<ServiceId, std::vector<const EndpointEntry *>> availableByService_;
+    mutable std::unordered_map<ServiceId, std::set<std::optional<SoftwareVersion>>> versionsByService_;
     mutable std::uint64_t indexedRevision_ = 0;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Streams
+
+/** Where a stream began, and so where it may go on: at endpoints of the same service and software version. */
+struct StreamOrigin {
+    ServiceId service;
+    std::optional<SoftwareVersion> version; ///< empty if it is unknown: the stream can't go on
+
+    auto operator<=>(const StreamOrigin &) const = default;
+
+    /** Returns whether an endpoint writes what fits the stream. */
+    bool matches(const EndpointEntry &entry) const
+    {
+        return version && entry.softwareVersion == version && entry.service == service;
+    }
+};
+
+/** Identifies a stream: a hash of the request that began it and of its workspace. */
+using StreamKey = Number<struct StreamKeyTag>;
+
+/** Origins of streams that callers may take up again. Bounded; the ones that expire first make room. */
+class StreamOriginTable
+{
+public:
+    explicit StreamOriginTable(std::size_t capacity);
+
+    /** Records an origin until a time; one that is known already stays as it is. */
+    void insert(StreamKey stream, const StreamOrigin &origin, Time expiresAt);
+    /** Returns null if the stream is not known, or no longer. */
+    const StreamOrigin *find(StreamKey stream, Time now) const;
+    void expire(Time now);
+    std::size_t size() const noexcept
+    {
+        return entries_.size();
+    }
+
+private:
+    struct Entry {
+        std::uint32_t origin; ///< position in origins_
+        Time expiresAt;
+    };
+
+    std::size_t capacity_;
+    std::unordered_map<StreamKey, Entry> entries_;
+    std::set<std::pair<Time, StreamKey>> byExpiry_;
+    std::vector<StreamOrigin> origins_; ///< few, as services have few versions
+};
+
 } // namespace lacewing::routing
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -11,6 +11,9 @@
 constexpr Duration endedLifetimeRetention = std::chrono::minutes(10);
 /** The registry removes an endpoint that is silent for three heartbeats, of up to 2 s each; and a margin. */
 constexpr Duration rollbackHoldTime = std::chrono::seconds(10);
+/** Time after which the registry tells of a lifetime that has ended: the endpoint is missing after three heartbeats of
+ * up to 2 s, or registered with its next incarnation. */
+constexpr Duration maxDoubtTime = std::chrono::seconds(7);
 
 } // namespace
 
@@ -50,6 +53,9 @@
     if (merged == record.entry) {
         return DirectoryChange::None;
     }
+    if (merged.softwareVersion != record.entry.softwareVersion || merged.service != record.entry.service) {
+        recordEndedVersion(record.entry, now);
+    }
     record.entry = merged;
     ++revision_;
     return !wasLeaving && merged.readiness == Readiness::Draining ? DirectoryChange::Draining
@@ -90,6 +96,78 @@
 void EndpointDirectory::recordEnd(const EndpointEntry &entry, Time now)
 {
     recordEnd(entry.lifetime(), entry.readiness == Readiness::Draining, now);
+    recordEndedVersion(entry, now);
+}
+
+void EndpointDirectory::recordEndedVersion(const EndpointEntry &entry, Time now)
+{
+    addEndedVersion(entry.service, entry.softwareVersion, now);
+}
+
+void EndpointDirectory::addEndedVersion(const ServiceId &service,
+                                        const std::optional<SoftwareVersion> &version,
+                                        Time now)
+{
+    endedVersions_[{ service, version }] = now;
+    ++revision_;
+}
+
+/** @return whether a version no longer counts */
+bool EndpointDirectory::expireVersions(Time now)
+{
+    return std::erase_if(endedVersions_, [&](const auto &item) { return now - item.second >= versionRetention; }) > 0;
+}
+
+std::set<SoftwareVersion> EndpointDirectory::versions(const ServiceId &service) const
+{
+    if (indexedRevision_ != revision_) {
+        rebuildIndex();
+    }
+    std::set<SoftwareVersion> known;
+    if (const auto found = versionsByService_.find(service); found != versionsByService_.end()) {
+        for (const auto &version : found->second) {
+            if (version) {
+                known.insert(*version);
+            }
+        }
+    }
+    return known;
+}
+
+std::optional<SoftwareVersion> EndpointDirectory::soleVersion(const ServiceId &service) const
+{
+    if (indexedRevision_ != revision_) {
+        rebuildIndex();
+    }
+    const auto found = versionsByService_.find(service);
+    return found != versionsByService_.end() && found->second.size() == 1 ? *found->second.begin() : std::nullopt;
+}
+
+void EndpointDirectory::markDoubtful(const EndpointLifetime &lifetime, Time now)
+{
+    Doubt &doubt = doubts_[lifetime.endpoint];
+    if (lifetime.incarnation >= doubt.incarnation) {
+        doubt = { lifetime.incarnation, now };
+    }
+}
+
+void EndpointDirectory::clearDoubt(const EndpointLifetime &lifetime)
+{
+    const auto found = doubts_.find(lifetime.endpoint);
+    if (found != doubts_.end() && found->second.incarnation == lifetime.incarnation) {
+        doubts_.erase(found);
+    }
+}
+
+bool EndpointDirectory::isCertain(const EndpointEntry &entry, Time now) const
+{
+    const auto found = doubts_.find(entry.id);
+    if (found == doubts_.end() || found->second.incarnation != entry.incarnation) {
+        return true;
+    }
+    // The registry can tell nothing while it does not respond.
+    const Time since = std::max(found->second.since, registryRestoredAt_.value_or(found->second.since));
+    return !isRegistryLost_ && now - since >= maxDoubtTime;
 }
 
 void EndpointDirectory::recordEnd(const EndpointLifetime &lifetime, bool wasDraining, Time now)
@@ -200,7 +278,10 @@
             ++it;
         }
     }
-    if (expiry.removed + expiry.released > 0) {
+    std::erase_if(doubts_, [&](const auto &item) {
+        return !isRegistryLost_ && now - item.second.since >= maxDoubtTime + endedLifetimeRetention;
+    });
+    if (expireVersions(now) || expiry.removed + expiry.released > 0) {
         ++revision_;
     }
     return expiry;
@@ -228,7 +309,12 @@
 void EndpointDirectory::rebuildIndex() const
 {
     availableByService_.clear();
+    versionsByService_.clear();
+    for (const auto &[key, endedAt] : endedVersions_) {
+        versionsByService_[key.first].insert(key.second);
+    }
     for (const auto &[id, record] : records_) {
+        versionsByService_[record.entry.service].insert(record.entry.softwareVersion);
         if (record.isAvailable()) {
             availableByService_[record.entry.service].push_back(&record.entry);
         }
--- a/tools/gateway/src/bulk_response.cpp
+++ b/tools/gateway/src/bulk_response.cpp
@@ -7,8 +7,6 @@
 namespace
 {
 
-/** Limits on the connection, on the time to the first piece and between pieces; there is none on the total time. */
-constexpr peer::CallLimits callLimits { 300ms, 900ms, 900ms, 0ms };
 constexpr std::size_t pieceBytes = std::size_t(32) << 10U;
 
 } // namespace
@@ -86,7 +84,12 @@
         transfers_.begin(), transfers_.end(), [&](const auto &transfer) { return transfer->size() > minBytes; }));
 }
 
-void requestBulk(FleetLinks &links, const VmId &vm, std::string request, std::size_t maxBytes, BulkHandlers handlers)
+void requestBulk(FleetLinks &links,
+                 const VmId &vm,
+                 std::string request,
+                 std::size_t maxBytes,
+                 const peer::CallLimits &limits,
+                 BulkHandlers handlers)
 {
     struct Download {
         BulkHandlers handlers;
@@ -106,7 +109,7 @@
     callHandlers.onFailed = [download](const Error &error, bool) {
         download->handlers.onFailed(error, download->bytes.size());
     };
-    download->call = links.call(vm, std::move(request), callLimits, std::move(callHandlers));
+    download->call = links.call(vm, std::move(request), limits, std::move(callHandlers));
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/bulk_response.h
+++ b/tools/gateway/src/bulk_response.h
@@ -38,7 +38,17 @@
     std::function<void(const Error &error, std::size_t receivedBytes)> onFailed;
 };
 
+/** Limits on the connection, on the time to the first piece and between pieces; there is none on the total time. */
+constexpr peer::CallLimits bulkCallLimits {
+    std::chrono::milliseconds(300), std::chrono::milliseconds(900), std::chrono::milliseconds(900), Duration::zero()
+};
+
 /** Calls another VM. Fails with TooLarge if the response exceeds `maxBytes`. */
-void requestBulk(FleetLinks &links, const VmId &vm, std::string request, std::size_t maxBytes, BulkHandlers handlers);
+void requestBulk(FleetLinks &links,
+                 const VmId &vm,
+                 std::string request,
+                 std::size_t maxBytes,
+                 const peer::CallLimits &limits,
+                 BulkHandlers handlers);
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -313,6 +313,9 @@
     case MessageKind::SuspectParts:
         deliver(handlers_.onSuspectParts);
         break;
+    case MessageKind::StreamOrigins:
+        deliver(handlers_.onStreamOrigins);
+        break;
     case MessageKind::EndpointLeaving:
         deliver(handlers_.onEndpointLeaving);
         break;
@@ -327,6 +330,7 @@
     case MessageKind::Pieces:
     case MessageKind::Records:
     case MessageKind::State:
+    case MessageKind::StreamOrigin:
     case MessageKind::Suspects:
         break;
     }
@@ -351,6 +355,11 @@
             handlers_.onStateRequested(decoded.value(), std::move(writer));
             return;
         }
+    } else if (kind == MessageKind::StreamOrigin) {
+        if (const auto decoded = wire::decode<StreamOriginRequest>(body)) {
+            handlers_.onStreamOriginRequested(decoded.value(), std::move(writer));
+            return;
+        }
     } else if (kind == MessageKind::Suspects) {
         handlers_.onSuspectsRequested(std::move(writer));
         return;
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -32,6 +32,8 @@
     std::function<void(const EndpointLifetimeMessage &)> onEndpointLeaving;
     std::function<void(const VmId &from, const RecordsPush &)> onRecordsPushed;
     std::function<void(const VmId &from, const StateAnnouncement &)> onStateAnnounced;
+    std::function<void(const StreamOriginsMessage &)> onStreamOrigins;
+    std::function<void(const StreamOriginRequest &, peer::PeerCallWriter)> onStreamOriginRequested;
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
     std::function<void(const RecordsRequest &, peer::PeerCallWriter)> onRecords;
     std::function<void(const StateRequest &, peer::PeerCallWriter)> onStateRequested;
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -36,6 +36,8 @@
 constexpr Duration maxRewriteDelay = 2s;
 /** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
 constexpr std::string_view quarantineKeyPrefix = "quarantine/";
+/** Keys of software versions in the same topic. The value lists the versions of a service, one a line. */
+constexpr std::string_view versionsKeyPrefix = "software-versions/";
 
 std::string quarantineKey(std::string_view name)
 {
@@ -151,6 +153,14 @@
         endpointsLoaded_ = true;
         markRemoved(replica, records, end);
     }
+    if (isSnapshot && topic == Topic::Vms) {
+        for (const auto &record : records) {
+            if (record.key.starts_with(versionsKeyPrefix) && record.value) {
+                applySoftwareVersions(std::string_view(record.key).substr(versionsKeyPrefix.size()), *record.value);
+            }
+        }
+        areVmsLoaded_ = true;
+    }
     if (isRollback && isSnapshot && topic == Topic::Vms) {
         rewriteLostRecords(records);
     }
@@ -190,10 +200,10 @@
     }
 }
 
-/** Writes this VM's address again if the store has lost it, and quarantines if this VM is responsible for them. */
+/** Writes this VM's address again if the store has lost it, and what all VMs share if this VM is responsible for it. */
 void FleetState::rewriteLostRecords(const std::vector<StoreRecord> &remaining)
 {
-    const bool writesQuarantines = links_.isResponsible("quarantines", 1);
+    const bool writesShared = links_.isResponsible("quarantines", 1);
     const auto isLost = [&](std::string_view key) {
         return std::none_of(remaining.begin(), remaining.end(), [&](const auto &record) { return record.key == key; });
     };
@@ -202,7 +212,8 @@
         lost.emplace_back(own, ownAddressValue());
     }
     for (const auto &[key, record] : replicas_[Topic::Vms].records) {
-        if (writesQuarantines && key.starts_with(quarantineKeyPrefix) && record.value && isLost(key)) {
+        const bool isShared = key.starts_with(quarantineKeyPrefix) || key.starts_with(versionsKeyPrefix);
+        if (writesShared && isShared && record.value && isLost(key)) {
             lost.emplace_back(key, *record.value);
         }
     }
@@ -340,6 +351,9 @@
         }
         return;
     }
+    if (record.key.starts_with(versionsKeyPrefix)) {
+        return; // matters only to a VM that starts, and is read from the snapshot then
+    }
     const VmId vm(record.key);
     const auto space = record.value ? record.value->find(' ') : std::string::npos;
     if (space == std::string::npos) {
@@ -349,6 +363,74 @@
     links_.updateAddress(vm, AvailabilityZoneId(record.value->substr(0, space)), record.value->substr(space + 1));
 }
 
+/** Takes over versions that have served before this VM started. */
+void FleetState::applySoftwareVersions(std::string_view service, const std::string &value)
+{
+    const routing::ServiceId id { std::string(service) };
+    std::set<routing::SoftwareVersion> &stored = storedVersions_[id];
+    stored.clear();
+    for (std::string_view rest = value; !rest.empty();) {
+        const auto end = std::min(rest.find('\n'), rest.size());
+        stored.emplace(std::string(rest.substr(0, end)));
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    if (!areVmsLoaded_) {
+        for (const auto &version : stored) {
+            endpoints_.addEndedVersion(id, version, context_.now());
+        }
+    }
+}
+
+/** Stores the versions of services that have several, so that VMs that start later know of those that have ended. */
+void FleetState::storeSoftwareVersions()
+{
+    if (!isLoaded() || !areVmsLoaded_ || !isViewCurrent() || !links_.isResponsible("software versions", 1)) {
+        return;
+    }
+    for (const auto &service : routes_->state().services) {
+        auto versions = endpoints_.versions(service->id);
+        if (versions.size() < 2) {
+            versions.clear();
+        }
+        auto &stored = storedVersions_[service->id];
+        if (versions == stored) {
+            continue;
+        }
+        stored = versions;
+        const std::string key = std::string(versionsKeyPrefix) + service->id.text();
+        std::string value;
+        for (const auto &version : versions) {
+            value += (value.empty() ? "" : "\n") + version.text();
+        }
+        context_.logger.state("software versions stored",
+                              { { "service", service->id }, { "versions", versions.size() } });
+        if (versions.empty()) {
+            store_.remove(key, [] {});
+        } else {
+            store_.put(key, value);
+        }
+    }
+}
+
+/** Returns whether the endpoint registrations that this VM knows are those of the store, but for some ms. */
+bool FleetState::isViewCurrent() const
+{
+    const auto found = replicas_.find(Topic::Endpoints);
+    const bool isStoreLost = found == replicas_.end() || found->second.isStoreLost;
+    return endpointsLoaded_ && (readsStore_ ? !isStoreLost : hasActiveReader());
+}
+
+std::optional<routing::SoftwareVersion> FleetState::soleVersion(const routing::ServiceId &service) const
+{
+    return areVmsLoaded_ && isViewCurrent() ? endpoints_.soleVersion(service) : std::nullopt;
+}
+
+void FleetState::expire(Time now)
+{
+    stateExchange_.expire(now);
+    storeSoftwareVersions();
+}
+
 void FleetState::applyQuarantine(std::string_view name, const std::string &value)
 {
     const auto bytes = net::fromBase64(value);
@@ -394,6 +476,9 @@
 void FleetState::expireEndpoints(Time now)
 {
     const auto expiry = endpoints_.expire(now);
+    if (std::exchange(storedVersionsRevision_, endpoints_.revision()) != endpoints_.revision()) {
+        storeSoftwareVersions();
+    }
     if (expiry.removed > 0) {
         context_.logger.state(
             "endpoints removed",
@@ -550,7 +635,8 @@
                                { "ms", toMilliseconds(context_.now() - now) } });
     };
     const RecordsRequest request { topic, start.packed() };
-    requestBulk(links_, vm, encodeMessage(MessageKind::Records, request), maxRecordsBytes, std::move(handlers));
+    requestBulk(
+        links_, vm, encodeMessage(MessageKind::Records, request), maxRecordsBytes, bulkCallLimits, std::move(handlers));
 }
 
 void FleetState::serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer)
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace lacewing::gateway
 {
@@ -73,6 +74,12 @@
      */
     bool mayBeOutdated(std::string_view host, std::string_view key) const;
 
+    /**
+     * Returns the software version of a service's endpoints if it certainly is the only one that serves or has served
+     * lately. It is not certain while this VM's view may be out of date.
+     */
+    std::optional<routing::SoftwareVersion> soleVersion(const routing::ServiceId &service) const;
+
     /**
      * Makes a lifetime of an endpoint unavailable that has said that it leaves.
      *
@@ -93,10 +100,7 @@
     {
         stateExchange_.serve(request, std::move(writer));
     }
-    void expire(Time now)
-    {
-        stateExchange_.expire(now);
-    }
+    void expire(Time now);
     /** Responds to a request of another VM for endpoint registrations. */
     void serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer);
     /** Applies records that another VM has read and pushed. */
@@ -128,6 +132,9 @@
     void putInForce(routing::DesiredState state, userplatform::LogPosition position, std::string_view source);
     void applyEndpoint(const userplatform::StoreRecord &record);
     void applyVm(const userplatform::StoreRecord &record);
+    void applySoftwareVersions(std::string_view service, const std::string &value);
+    void storeSoftwareVersions();
+    bool isViewCurrent() const;
     void applyQuarantine(std::string_view name, const std::string &value);
     void pushRecords(userplatform::Topic topic,
                      userplatform::LogPosition start,
@@ -153,6 +160,10 @@
     BulkResponses recordResponses_;
     routing::EndpointDirectory endpoints_;
     bool endpointsLoaded_ = false;
+    bool areVmsLoaded_ = false; ///< whether the records that all VMs share have been read
+    /** Versions of services that have several, as stored: a VM that starts can't see those that have ended. */
+    std::map<routing::ServiceId, std::set<routing::SoftwareVersion>> storedVersions_;
+    std::uint64_t storedVersionsRevision_ = 0; ///< of the directory when they were last compared
     bool isDeregistered_ = false; ///< this VM leaves and has removed its address
     bool readsStore_ = true; ///< whether this VM reads the store itself
 };
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -61,13 +61,14 @@
     , notices_(context, links_, state_)
     , poisonPrompts_(context, links_, state_, random_.next(), [this] { handlePartsQuarantined(); })
     , poisonRequests_(context, links_, state_, notices_, poisonPrompts_)
+    , streamOrigins_(context, links_, state_)
     , pieces_(context, links_, state_, notices_, poisonRequests_, random_.next())
     , client_(context.loop, endpointOptions(context))
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context,       links_,       state_,          notices_,       pieces_,      client_,
-                loadBalancer_, prefixCache_, poisonRequests_, poisonPrompts_, decisionLog_, random_ }
+    , shared_ { context,      links_,          state_,         notices_,       pieces_,      client_, loadBalancer_,
+                prefixCache_, poisonRequests_, poisonPrompts_, streamOrigins_, decisionLog_, random_ }
     , callerServer_(context.loop,
                     callerOptions(context),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
@@ -110,6 +111,7 @@
         poisonRequests_.expire(now);
         poisonPrompts_.expire(now);
         notices_.expire(now);
+        streamOrigins_.expire(now);
         shared_.rejectionHistory.expire(now);
     });
     context_.loop.run();
@@ -194,6 +196,7 @@
         context_.logger.state("ready", { { "vm", context_.settings.vm } });
     }
     poisonRequests_.onEndpointsChanged();
+    streamOrigins_.update();
     pieces_.refresh();
 }
 
@@ -237,6 +240,10 @@
     handlers.onStateAnnounced = [this](const VmId &vm, const StateAnnouncement &announcement) {
         state_.handleStateAnnounced(vm, announcement);
     };
+    handlers.onStreamOrigins = [this](const StreamOriginsMessage &message) { streamOrigins_.handleOrigins(message); };
+    handlers.onStreamOriginRequested = [this](const StreamOriginRequest &request, peer::PeerCallWriter writer) {
+        streamOrigins_.serve(request, std::move(writer));
+    };
     handlers.onStateRequested = [this](const StateRequest &request, peer::PeerCallWriter writer) {
         state_.serveState(request, std::move(writer));
     };
@@ -256,6 +263,7 @@
         shared_.rejectionHistory.merge(rejections, context_.now());
     };
     handlers.fillHeartbeat = [this](Heartbeat &heartbeat) {
+        streamOrigins_.update();
         heartbeat.loads = pieces_.localLoads();
         heartbeat.suspectsDigest = poisonRequests_.updateDigest();
         heartbeat.rateLimits = notices_.updateRateLimits();
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -44,6 +44,7 @@
     EndpointNotices notices_;
     PoisonPromptGuard poisonPrompts_;
     PoisonRequestGuard poisonRequests_;
+    StreamOrigins streamOrigins_;
     PieceService pieces_;
     net::HttpClient client_;
     dispatch::LoadBalancer loadBalancer_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -299,6 +299,34 @@
     LACEWING_MEMBERS(topic, startOffset, records)
 };
 
+/** Streams that began at endpoints of one service and software version. */
+struct StreamOriginGroup {
+    routing::ServiceId service;
+    routing::SoftwareVersion version;
+    std::vector<routing::StreamKey> streams;
+    std::vector<std::uint32_t> timesToLiveMs; ///< by stream: until its caller can't come back any more
+
+    LACEWING_MEMBERS(service, version, streams, timesToLiveMs)
+};
+struct StreamOriginsMessage {
+    std::vector<StreamOriginGroup> groups;
+
+    LACEWING_MEMBERS(groups)
+};
+/** Asks another VM where a stream began. */
+struct StreamOriginRequest {
+    routing::StreamKey stream;
+
+    LACEWING_MEMBERS(stream)
+};
+struct StreamOriginResponse {
+    bool isKnown = false;
+    routing::ServiceId service; ///< valid if it is known
+    routing::SoftwareVersion version; ///< valid if it is known
+
+    LACEWING_MEMBERS(isKnown, service, version)
+};
+
 /** First byte of each message on a link, which tells the type of the encoded message that follows. */
 enum class MessageKind : std::uint8_t {
     Heartbeat = 1,
@@ -312,7 +340,9 @@
     SuspectParts = 9,
     RateLimits = 10,
     StateAnnouncement = 11,
-    State = 12
+    State = 12,
+    StreamOrigins = 13,
+    StreamOrigin = 14
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -89,6 +89,7 @@
     if (state_.endpoints().hasEnded(endpoint.lifetime())) {
         onEndpointsChanged();
     }
+    state_.endpoints().markDoubtful(endpoint.lifetime(), context_.now());
     const auto [check, isFirst] = checkedEndpoints_.try_emplace(endpoint.lifetime());
     check->second.push_back(std::move(onChecked));
     if (isFirst) {
@@ -116,6 +117,8 @@
             onUnreachable(endpoint);
         } else if (!end.error) {
             crashDetector_.onReachable(endpoint.lifetime(), attemptedAt);
+            // An endpoint that has crashed is down for longer than the delay of this attempt.
+            state_.endpoints().clearDoubt(endpoint.lifetime());
         }
         for (const auto &onChecked : check.mapped()) {
             onChecked();
@@ -127,6 +130,7 @@
 void PoisonRequestGuard::onUnreachable(const routing::EndpointEntry &endpoint)
 {
     const auto lifetime = endpoint.lifetime();
+    state_.endpoints().markDoubtful(lifetime, context_.now());
     recordCrash(lifetime, crashDetector_.onUnreachable(lifetime, context_.now()));
     recordPieceCrash(lifetime, pieceCrashDetector_.onUnreachable(lifetime, context_.now()));
 }
@@ -279,6 +283,9 @@
     suspect.request = Fingerprint(message.fingerprint);
     for (const auto &crash : message.crashes) {
         const routing::EndpointLifetime endpoint { EndpointId(crash.endpoint), Incarnation(crash.incarnation) };
+        if (!message.isCleared) {
+            state_.endpoints().markDoubtful(endpoint, context_.now());
+        }
         if (!prompts_.isExplained(endpoint)) {
             suspect.crashes.push_back(endpoint);
         }
@@ -343,7 +350,8 @@
         context_.logger.warn("suspects not received",
                              { { "vm", vm }, { "error", error.detail }, { "bytes", receivedBytes } });
     };
-    requestBulk(links_, vm, encodeMessage(MessageKind::Suspects), maxSuspectsBytes, std::move(handlers));
+    requestBulk(
+        links_, vm, encodeMessage(MessageKind::Suspects), maxSuspectsBytes, bulkCallLimits, std::move(handlers));
 }
 
 void PoisonRequestGuard::serveSuspects(peer::PeerCallWriter writer)
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -18,6 +18,8 @@
 constexpr int maxMissingInputRetries = 2;
 /** Urgency that engines assume when none is given; the rank of a request is added to it. */
 constexpr int baseUrgency = 3;
+/** A caller may measure its time limit from a little later than the request's arrival. */
+constexpr Duration originMargin = 2s;
 constexpr int maxUrgency = 9;
 
 } // namespace
@@ -31,9 +33,10 @@
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
     const std::size_t maxConnections = service != nullptr ? service->maxConnections : 0;
-    const auto *entry = placement_->choose(triedEndpoints_, maxConnections, reservedEndpoint_, results);
+    const auto *entry = placement_->choose(triedEndpoints_, maxConnections, reservedEndpoint_, origin_, results);
     if (entry == nullptr) {
-        rejectOrFail("no endpoint available", retryAfterTime());
+        rejectOrFail(origin_ ? "no endpoint of the stream's software version" : "no endpoint available",
+                     retryAfterTime());
         return;
     }
     sendTo(*entry, results);
@@ -149,6 +152,7 @@
         if (!event.id.empty()) {
             lastEventId_ = event.id;
         }
+        recordOrigin();
         forwardBytes(event.bytes);
     }
     if (phase_ == Phase::Streaming && eventSplitter_.pendingBytes() > net::SseParser::defaultMaxEventBytes) {
@@ -156,6 +160,20 @@
     }
 }
 
+/** Records where a stream began, once its first event is sent to the caller. */
+void RequestHandler::recordOrigin()
+{
+    if (origin_) {
+        return;
+    }
+    origin_ = routing::StreamOrigin { service_, attempt_->entry().softwareVersion };
+    const auto workspace = keyHolder_ != nullptr ? std::optional(keyHolder_->workspace) : std::nullopt;
+    ownStream_ = StreamOrigins::keyOf(facts_.id, workspace);
+    const Time expiresAt = request_.receivedAt + facts_.callerTimeout.value_or(route_->timeout) + originMargin;
+    shared_.streamOrigins.onBegun(
+        *ownStream_, *origin_, shared_.streamOrigins.soleOrigin(*route_).has_value(), expiresAt);
+}
+
 void RequestHandler::forwardBytes(std::string_view bytes)
 {
     isBodyForwarded_ = true;
@@ -239,6 +257,9 @@
         fail(0, "end of resumed stream not certain");
         return;
     }
+    if (ownStream_ && head.framing != net::BodyFraming::UntilClose) {
+        shared_.streamOrigins.onCompleted(*ownStream_);
+    }
     writer_.end();
     finish(head.status, "streamed");
 }
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -8,6 +8,7 @@
 #include "piece_service.h"
 #include "poison_prompt_guard.h"
 #include "poison_request_guard.h"
+#include "stream_origins.h"
 
 #include <dispatch/dispatch.h>
 #include <routing/routing.h>
@@ -52,6 +53,7 @@
     dispatch::PrefixCacheIndex &prefixCache;
     PoisonRequestGuard &poisonRequests;
     PoisonPromptGuard &poisonPrompts;
+    StreamOrigins &streamOrigins;
     DecisionLog &decisionLog;
     Random &random;
     dispatch::RejectionHistory rejectionHistory;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -51,9 +51,22 @@
     if (rejectIfQuarantined() || !startDeadline()) {
         return;
     }
+    if (takesUpStream()) {
+        findOrigin();
+        return;
+    }
     service_ = chooseService();
+    run();
+}
+
+void RequestHandler::run()
+{
     shared_.retryBudget(service_).recordRequest(now());
     placement_.emplace(shared_, facts_, service_);
+    if (origin_ && !placement_->canGoOn(*origin_)) {
+        reject(net::status::unavailable, "no endpoint of the stream's software version", retryAfterTime());
+        return;
+    }
     const bool hasStages = std::any_of(
         facts_.pieceCounts.begin(), facts_.pieceCounts.end(), [](std::uint32_t count) { return count > 0; });
     if (!hasStages || route_->stages.empty()) {
@@ -135,6 +148,59 @@
     return route_->services.back().service;
 }
 
+/** Returns whether the caller asks for the rest of a stream that an earlier request began. */
+bool RequestHandler::takesUpStream() const noexcept
+{
+    return route_->kind == routing::RouteKind::Stream && route_->isResumable
+        && (facts_.resumedRequest || facts_.lastEventId);
+}
+
+void RequestHandler::findOrigin()
+{
+    if (const auto origin = shared_.streamOrigins.soleOrigin(*route_)) {
+        goOnFrom(origin, "only version");
+        return;
+    }
+    if (!facts_.resumedRequest) {
+        goOnFrom(std::nullopt, "no request named");
+        return;
+    }
+    phase_ = Phase::FindingOrigin;
+    const auto workspace = keyHolder_ != nullptr ? std::optional(keyHolder_->workspace) : std::nullopt;
+    shared_.streamOrigins.find(StreamOrigins::keyOf(*facts_.resumedRequest, workspace),
+                               [weak = weak_from_this()](const std::optional<routing::StreamOrigin> &origin) {
+                                   const auto self = weak.lock();
+                                   if (self && self->phase_ == Phase::FindingOrigin) {
+                                       self->goOnFrom(origin, "request named");
+                                   }
+                               });
+}
+
+/** Sends a request for the rest of a stream only where the stream began. @param source of the origin, for the log */
+void RequestHandler::goOnFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source)
+{
+    const bool isRouted =
+        origin && std::any_of(route_->services.begin(), route_->services.end(), [&](const auto &share) {
+            return share.service == origin->service;
+        });
+    shared_.decisionLog.write("stream taken up",
+                              { { "request", facts_.id },
+                                { "resumes", facts_.resumedRequest.value_or(stages::RequestId()) },
+                                { "after_event", facts_.lastEventId.value_or("") },
+                                { "source", source },
+                                { "known", origin.has_value() },
+                                { "routed", isRouted },
+                                { "software_version", origin ? toText(origin->version) : "unknown" } },
+                              now());
+    if (!isRouted) {
+        reject(net::status::unavailable, origin ? "stream of another service" : "stream not known", defaultRetryAfter);
+        return;
+    }
+    origin_ = origin;
+    service_ = origin->service;
+    run();
+}
+
 /** Ends the request if it must not be sent, because endpoints crashed while they executed it or others like it. */
 bool RequestHandler::rejectIfQuarantined()
 {
@@ -187,7 +253,9 @@
         rejectOrFail("all endpoints at their limits", retryAfterTime());
         return true;
     }
-    reservedEndpoint_ = shared_.notices.reserve(service_);
+    if (!origin_) {
+        reservedEndpoint_ = shared_.notices.reserve(service_); // might be of another software version
+    }
     return false;
 }
 
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -27,7 +27,15 @@
     /** Retry-after of requests that are rejected, unless an endpoint has said when it wants requests again. */
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(400);
 
-    enum class Phase : std::uint8_t { New, RunningStages, SelectingEndpoint, AwaitingHead, Streaming, Done };
+    enum class Phase : std::uint8_t {
+        New,
+        FindingOrigin,
+        RunningStages,
+        SelectingEndpoint,
+        AwaitingHead,
+        Streaming,
+        Done
+    };
 
     // Admission
     bool findRoute();
@@ -35,6 +43,10 @@
     bool startDeadline();
     int rank() const noexcept;
     const routing::ServiceId &chooseService();
+    bool takesUpStream() const noexcept;
+    void findOrigin();
+    void goOnFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source);
+    void run();
     bool rejectIfQuarantined();
     void rejectStages(const stages::AdmissionDecision &decision);
 
@@ -59,6 +71,7 @@
     void clearBufferedBody();
     void forwardEvents(std::string_view bytes);
     void forwardBytes(std::string_view bytes);
+    void recordOrigin();
     bool retry(std::string_view reason, bool mayHaveRun);
     void reportAnswer();
     void reportConnectionEnd(bool mayBeComplete);
@@ -112,6 +125,9 @@
     net::SseSplitter eventSplitter_; ///< of the stream of the latest attempt, if it may be resumed
     net::SseBoundary eventBoundary_; ///< of the stream of the latest attempt, if it may not
     std::string lastEventId_; ///< id of the last event forwarded to the caller
+    /** Where the stream began; empty until an event of it is forwarded, unless the caller takes it up again. */
+    std::optional<routing::StreamOrigin> origin_;
+    std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
     bool isHeadForwarded_ = false;
     net::BodyFraming forwardedFraming_ = net::BodyFraming::Chunked; ///< of the stream as the caller gets it
     bool isBodyForwarded_ = false;
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -61,6 +61,7 @@
 const routing::EndpointEntry *RequestPlacement::choose(const std::vector<EndpointId> &triedEndpoints,
                                                        std::size_t maxConnections,
                                                        const std::optional<routing::EndpointLifetime> &reserved,
+                                                       const std::optional<routing::StreamOrigin> &origin,
                                                        const ResultBytes &results) const
 {
     const std::size_t connectionsPerVm = std::max(maxConnections / shared_.vmCount(), minConnectionsPerVm);
@@ -74,7 +75,8 @@
         const bool isReserved = entry->lifetime() == reserved;
         const bool isBlocked = isReserved ? shared_.notices.quietUntil(*reserved).has_value()
                                           : shared_.notices.blockedUntil(entry->lifetime()).has_value();
-        if (wasTried || isFull || isBlocked) {
+        const bool isOtherVersion = origin && !goesOnAt(*origin, *entry);
+        if (wasTried || isFull || isBlocked || isOtherVersion) {
             continue;
         }
         const auto [zone, isFirstLookup] = reachableZones.try_emplace(entry->zone);
@@ -93,6 +95,17 @@
         reachable.empty() ? candidates : reachable, shared_.context.settings.zone, shared_.context.now());
 }
 
+bool RequestPlacement::goesOnAt(const routing::StreamOrigin &origin, const routing::EndpointEntry &entry) const
+{
+    return origin.matches(entry) && shared_.state.endpoints().isCertain(entry, shared_.context.now());
+}
+
+bool RequestPlacement::canGoOn(const routing::StreamOrigin &origin) const
+{
+    const auto &available = shared_.state.endpoints().availableEndpoints(service_);
+    return std::any_of(available.begin(), available.end(), [&](const auto *entry) { return goesOnAt(origin, *entry); });
+}
+
 double RequestPlacement::estimatedWorkMs(const routing::EndpointEntry &entry, const ResultBytes &results) const
 {
     constexpr double bytesInMegabyte = 1e6;
--- a/tools/gateway/src/state_exchange.cpp
+++ b/tools/gateway/src/state_exchange.cpp
@@ -215,7 +215,12 @@
     handlers.onFailed = [this](const Error &error, std::size_t receivedBytes) {
         failDownload(toText(error.kind), receivedBytes);
     };
-    requestBulk(links_, source, encodeMessage(MessageKind::State, request), stateLimits.bytes, std::move(handlers));
+    requestBulk(links_,
+                source,
+                encodeMessage(MessageKind::State, request),
+                stateLimits.bytes,
+                bulkCallLimits,
+                std::move(handlers));
 }
 
 void StateExchange::failDownload(std::string_view reason, std::size_t receivedBytes)
--- a/tools/gateway/tests/software_version_test.cpp
+++ b/tools/gateway/tests/software_version_test.cpp
@@ -292,6 +292,8 @@
             return f.engines[0]->executionCount() > before;
         },
         "a stream at the engine that crashes");
+    // The endpoint is back some seconds later; its registration may still be the former one.
+    f.harness.waitForLogLines({ 0 }, "\"suspect request\"", 1);
     cr_assert(f.engines[0]->restart(18, "v2").has_value());
     f.engines[0]->setBehaviour(Behaviour::Stream);
     const auto before = Fleet::resumptions(*f.engines[0]);
@@ -300,3 +302,57 @@
     }
     cr_expect_eq(Fleet::resumptions(*f.engines[0]), before, "went on at the next lifetime");
 }
+
+namespace
+{
+
+struct RestartCase {
+    char name[40];
+    char endedVersion[8]; ///< of an engine that leaves before all VMs are killed; empty: there is none
+    bool goesOn;
+};
+
+RestartCase restartCases[] = {
+    { "one version before and after", "", true },
+    { "another version has ended before", "v1", false },
+};
+
+} // namespace
+
+ParameterizedTestParameters(softwareVersion, versionsOutliveARestartOfAllVms)
+{
+    return cr_make_param_array(RestartCase, restartCases, std::size(restartCases));
+}
+
+/** VMs that have just started know of no stream, and can't see versions that have ended. */
+ParameterizedTest(RestartCase *test, softwareVersion, versionsOutliveARestartOfAllVms)
+{
+    constexpr std::size_t vms = 3;
+    const std::string ended = test->endedVersion;
+    Fleet f(vms, ended.empty() ? std::vector<std::string> { "v2" } : std::vector<std::string> { ended, "v2" });
+    const auto begun = f.beginStream(0, *f.engines.front());
+    if (!ended.empty()) {
+        std::vector<std::size_t> all { 0, 1, 2 };
+        f.harness.waitForLogLines(all, "\"software versions stored\"", 1);
+        f.harness.waitFor(
+            [&] { return f.harness.store().hasKey("keyed.lacewingfall-vms", "software-versions/engine"); },
+            "the stored versions");
+        f.harness.store().removeEndpoint("g1");
+    }
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        f.harness.signal(vm, SIGKILL);
+        f.harness.waitFor([&] { return f.harness.hasEnded(vm); }, "the end of a vm");
+    }
+    f.harness.start(0, vms);
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 1);
+        const auto response = f.takeUp(vm, begun);
+        cr_expect_eq(response.isComplete && response.status == net::status::ok,
+                     test->goesOn,
+                     "%s: vm %zu, status %d",
+                     test->name,
+                     vm,
+                     response.status);
+    }
+    cr_expect_eq(Fleet::resumptions(*f.engines.back()) > 0, test->goesOn, "%s", test->name);
+}
