Gateway: a VM that is cut off from all VMs with a newer state goes on serving by its own

Cause, from reading the change: a zone that is cut off just after it has heard of a version, and before it has got it, would have counted the state as overdue for as long as the cut lasts, and refused what the version may answer differently, or all if it had only heard a heartbeat. A VM that reaches none of those that have the version can't be expected to have it; zones that are cut off go on serving. Test: stateExchange::vmThatIsCutOffFromANewerStateServesByItsOwn, which the code before does not pass (the state stays overdue as long as it is lacking).

--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -36,8 +36,6 @@
 constexpr Duration maxRewriteDelay = 2s;
 /** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
 constexpr std::string_view quarantineKeyPrefix = "quarantine/";
-/** Keys of software versions in the same topic. The value lists the versions of a service, one a line. */
-constexpr std::string_view versionsKeyPrefix = "software-versions/";
 
 std::string quarantineKey(std::string_view name)
 {
@@ -155,8 +153,9 @@
     }
     if (isSnapshot && topic == Topic::Vms) {
         for (const auto &record : records) {
-            if (record.key.starts_with(versionsKeyPrefix) && record.value) {
-                applySoftwareVersions(std::string_view(record.key).substr(versionsKeyPrefix.size()), *record.value);
+            if (record.key.starts_with(softwareVersionsKeyPrefix) && record.value) {
+                applySoftwareVersions(std::string_view(record.key).substr(softwareVersionsKeyPrefix.size()),
+                                      *record.value);
             }
         }
         areVmsLoaded_ = true;
@@ -212,7 +211,7 @@
         lost.emplace_back(own, ownAddressValue());
     }
     for (const auto &[key, record] : replicas_[Topic::Vms].records) {
-        const bool isShared = key.starts_with(quarantineKeyPrefix) || key.starts_with(versionsKeyPrefix);
+        const bool isShared = key.starts_with(quarantineKeyPrefix) || key.starts_with(softwareVersionsKeyPrefix);
         if (writesShared && isShared && record.value && isLost(key)) {
             lost.emplace_back(key, *record.value);
         }
@@ -351,7 +350,7 @@
         }
         return;
     }
-    if (record.key.starts_with(versionsKeyPrefix)) {
+    if (record.key.starts_with(softwareVersionsKeyPrefix)) {
         return; // matters only to a VM that starts, and is read from the snapshot then
     }
     const VmId vm(record.key);
@@ -363,68 +362,6 @@
     links_.updateAddress(vm, AvailabilityZoneId(record.value->substr(0, space)), record.value->substr(space + 1));
 }
 
-/** Takes over versions that have served before this VM started. */
-void FleetState::applySoftwareVersions(std::string_view service, const std::string &value)
-{
-    const routing::ServiceId id { std::string(service) };
-    std::set<routing::SoftwareVersion> &stored = storedVersions_[id];
-    stored.clear();
-    for (std::string_view rest = value; !rest.empty();) {
-        const auto end = std::min(rest.find('\n'), rest.size());
-        stored.emplace(std::string(rest.substr(0, end)));
-        rest.remove_prefix(std::min(end + 1, rest.size()));
-    }
-    if (!areVmsLoaded_) {
-        for (const auto &version : stored) {
-            endpoints_.addEndedVersion(id, version, context_.now());
-        }
-    }
-}
-
-/** Stores the versions of services that have several, so that VMs that start later know of those that have ended. */
-void FleetState::storeSoftwareVersions()
-{
-    if (!isLoaded() || !areVmsLoaded_ || !isViewCurrent() || !links_.isResponsible("software versions", 1)) {
-        return;
-    }
-    for (const auto &service : routes_->state().services) {
-        auto versions = endpoints_.versions(service->id);
-        if (versions.size() < 2) {
-            versions.clear();
-        }
-        auto &stored = storedVersions_[service->id];
-        if (versions == stored) {
-            continue;
-        }
-        stored = versions;
-        const std::string key = std::string(versionsKeyPrefix) + service->id.text();
-        std::string value;
-        for (const auto &version : versions) {
-            value += (value.empty() ? "" : "\n") + version.text();
-        }
-        context_.logger.state("software versions stored",
-                              { { "service", service->id }, { "versions", versions.size() } });
-        if (versions.empty()) {
-            store_.remove(key, [] {});
-        } else {
-            store_.put(key, value);
-        }
-    }
-}
-
-/** Returns whether the endpoint registrations that this VM knows are those of the store, but for some ms. */
-bool FleetState::isViewCurrent() const
-{
-    const auto found = replicas_.find(Topic::Endpoints);
-    const bool isStoreLost = found == replicas_.end() || found->second.isStoreLost;
-    return endpointsLoaded_ && (readsStore_ ? !isStoreLost : hasActiveReader());
-}
-
-std::optional<routing::SoftwareVersion> FleetState::soleVersion(const routing::ServiceId &service) const
-{
-    return areVmsLoaded_ && isViewCurrent() ? endpoints_.soleVersion(service) : std::nullopt;
-}
-
 void FleetState::expire(Time now)
 {
     stateExchange_.expire(now);
@@ -454,7 +391,8 @@
 bool FleetState::isOverdue() const
 {
     const auto behindSince = stateExchange_.behindSince();
-    return behindSince && context_.now() - *behindSince >= context_.settings.stateApplyTimeout - overdueMargin;
+    return behindSince && context_.now() - *behindSince >= context_.settings.stateApplyTimeout - overdueMargin
+        && stateExchange_.isNewerVersionLive();
 }
 
 bool FleetState::mayBeOutdated(std::string_view host, std::string_view key) const
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -63,7 +63,8 @@
 
     /**
      * Returns whether a newer desired state should be in force by now than the one that this VM has. Readiness checks
-     * fail then, so that callers' new connections go to other VMs.
+     * fail then, so that callers' new connections go to other VMs. A VM that is cut off from all VMs with a newer state
+     * goes on serving by its own.
      */
     bool isOverdue() const;
     /**
@@ -107,6 +108,9 @@
     void handlePushedRecords(const VmId &vm, const RecordsPush &push);
 
 private:
+    /** Keys of software versions in the VMs' topic. The value lists the versions of a service, one a line. */
+    static constexpr std::string_view softwareVersionsKeyPrefix = "software-versions/";
+
     /** Local copy of one topic. */
     struct TopicReplica {
         std::map<std::string, userplatform::StoreRecord> records; ///< latest record by key, including removals
--- a/tools/gateway/src/state_exchange.cpp
+++ b/tools/gateway/src/state_exchange.cpp
@@ -133,6 +133,13 @@
     update();
 }
 
+bool StateExchange::isNewerVersionLive() const
+{
+    return std::any_of(versions_.begin(), versions_.end(), [this](const auto &item) {
+        return item.second.digest != 0 && isNewer(item.second) && links_.isLive(item.first);
+    });
+}
+
 bool StateExchange::mayAffect(std::string_view host, std::string_view key) const
 {
     // Follows the changes from the state in force to the latest one. Readers may have passed over some versions.
--- a/tools/gateway/src/state_exchange.h
+++ b/tools/gateway/src/state_exchange.h
@@ -64,6 +64,8 @@
     StateVersionMessage currentVersion() const;
     /** Returns since when a version has been known that this VM does not have; empty if there is none. */
     std::optional<Time> behindSince() const;
+    /** Returns whether a live VM has a version that this VM lacks. */
+    bool isNewerVersionLive() const;
     /** Returns whether the versions that this VM lacks may change how a request is answered. @param host as routed */
     bool mayAffect(std::string_view host, std::string_view key) const;
 
--- a/tools/gateway/tests/fake_vm.cpp
+++ b/tools/gateway/tests/fake_vm.cpp
@@ -43,7 +43,7 @@
                  } })
 {
     cr_assert(network_.listen({ ip, 0 }).has_value());
-    loop_.timers().every(loop_.clock().now(), heartbeatInterval, [this](Time) { sendHeartbeat(); });
+    heartbeatTimer_ = loop_.timers().every(loop_.clock().now(), heartbeatInterval, [this](Time) { sendHeartbeat(); });
 }
 
 routing::DesiredState FakeVm::parse(const platform_standin::DesiredStateSpec &spec)
@@ -56,6 +56,11 @@
     state_ = parse(spec);
 }
 
+void FakeVm::stopHeartbeats()
+{
+    loop_.timers().cancel(heartbeatTimer_);
+}
+
 void FakeVm::setAnswers(std::vector<Answer> answers)
 {
     answers_ = std::move(answers);
--- a/tools/gateway/tests/fake_vm.h
+++ b/tools/gateway/tests/fake_vm.h
@@ -38,6 +38,8 @@
     void setAnswers(std::vector<Answer> answers);
     /** Announces the state, as a VM that has read it from the store. */
     void announce(std::optional<routing::StateImpact> impact);
+    /** Sends no more heartbeats, as a VM that is cut off. */
+    void stopHeartbeats();
     std::size_t requestCount() const noexcept
     {
         return requestCount_;
@@ -57,6 +59,7 @@
     routing::DesiredState state_;
     std::vector<Answer> answers_ { Answer::Complete };
     std::size_t requestCount_ = 0;
+    TimerHandle heartbeatTimer_;
 };
 
 } // namespace lacewing::gateway_test
--- a/tools/gateway/tests/state_exchange_test.cpp
+++ b/tools/gateway/tests/state_exchange_test.cpp
@@ -167,3 +167,15 @@
     f.harness.waitFor([&] { return f.statusOf("route-7", "new-key") == net::status::ok; }, "the new state");
     cr_assert_eq(f.statusOf("route-7", key), net::status::unauthorized);
 }
+
+/** A zone that is cut off after it has heard of a version goes on serving by its own. */
+Test(stateExchange, vmThatIsCutOffFromANewerStateServesByItsOwn)
+{
+    Fixture f;
+    f.fake.setAnswers({ Answer::Refuse });
+    f.fake.setState(stateOf(newVersion));
+    f.harness.waitFor([&] { return f.harness.readiness(0) == net::status::unavailable; }, "the state to be overdue");
+    f.fake.stopHeartbeats();
+    f.harness.waitFor([&] { return f.harness.readiness(0) == net::status::ok; }, "the other vm to be cut off");
+    cr_assert_eq(f.statusOf("route-7", key), net::status::ok);
+}
