--- a/tools/gateway/tests/stream_origins_test.cpp
+++ b/tools/gateway/tests/stream_origins_test.cpp
@@ -166,7 +166,9 @@
 Test(streamKey, belongsToItsWorkspace)
 {
     const stages::RequestId request("3f");
-    const auto key = [&](const std::optional<WorkspaceId> &workspace) { return StreamOrigins::keyOf(request, workspace); };
+    const auto key = [&](const std::optional<WorkspaceId> &workspace) {
+        return StreamOrigins::keyOf(request, workspace);
+    };
     cr_assert(key(WorkspaceId("a")) == key(WorkspaceId("a")));
     cr_assert(key(WorkspaceId("a")) != key(WorkspaceId("b")));
     cr_assert(key(std::nullopt) != key(WorkspaceId("a")));
