--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -384,7 +384,7 @@
     void addEndedVersion(const ServiceId &service, const std::optional<SoftwareVersion> &version, Time now);
     /** Records that a lifetime may have ended, as a connection to it was lost or refused. */
     void markDoubtful(const EndpointLifetime &lifetime, Time now);
-    /** Records that a lifetime goes on although a connection to it was lost. */
+    /** Records that a lifetime has not ended although a connection to it was lost. */
     void clearDoubt(const EndpointLifetime &lifetime);
     /**
      * Returns whether an endpoint certainly is of the lifetime that is registered, and so of its software version. One
@@ -459,14 +459,14 @@
 // ---------------------------------------------------------------------------------------------------------------------
 // Streams
 
-/** Where a stream began, and so where it may go on: at endpoints of the same service and software version. */
+/** Service and software version of the endpoint that began a stream; only endpoints of both can resume it. */
 struct StreamOrigin {
     ServiceId service;
-    std::optional<SoftwareVersion> version; ///< empty if it is unknown: the stream can't go on
+    std::optional<SoftwareVersion> version; ///< empty if it is unknown: no endpoint can resume the stream
 
     auto operator<=>(const StreamOrigin &) const = default;
 
-    /** Returns whether an endpoint writes what fits the stream. */
+    /** Returns whether an endpoint can resume the stream. */
     bool matches(const EndpointEntry &entry) const
     {
         return version && entry.softwareVersion == version && entry.service == service;
@@ -476,7 +476,7 @@
 /** Identifies a stream: a hash of the request that began it and of its workspace. */
 using StreamKey = Number<struct StreamKeyTag>;
 
-/** Origins of streams that callers may take up again. Bounded; the ones that expire first make room. */
+/** Origins of streams that callers may resume. Bounded; the ones that expire first make room. */
 class StreamOriginTable
 {
 public:
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -51,8 +51,8 @@
     if (rejectIfQuarantined() || !startDeadline()) {
         return;
     }
-    if (takesUpStream()) {
-        findOrigin();
+    if (isResumption()) {
+        lookUpOrigin();
         return;
     }
     service_ = chooseService();
@@ -63,7 +63,7 @@
 {
     shared_.retryBudget(service_).recordRequest(now());
     placement_.emplace(shared_, facts_, service_);
-    if (origin_ && !placement_->canGoOn(*origin_)) {
+    if (origin_ && !placement_->canResume(*origin_)) {
         reject(net::status::unavailable, "no endpoint of the stream's software version", retryAfterTime());
         return;
     }
@@ -149,41 +149,41 @@
 }
 
 /** Returns whether the caller asks for the rest of a stream that an earlier request began. */
-bool RequestHandler::takesUpStream() const noexcept
+bool RequestHandler::isResumption() const noexcept
 {
     return route_->kind == routing::RouteKind::Stream && route_->isResumable
         && (facts_.resumedRequest || facts_.lastEventId);
 }
 
-void RequestHandler::findOrigin()
+void RequestHandler::lookUpOrigin()
 {
     if (const auto origin = shared_.streamOrigins.soleOrigin(*route_)) {
-        goOnFrom(origin, "only version");
+        resumeFrom(origin, "only version");
         return;
     }
     if (!facts_.resumedRequest) {
-        goOnFrom(std::nullopt, "no request named");
+        resumeFrom(std::nullopt, "no request named");
         return;
     }
-    phase_ = Phase::FindingOrigin;
+    phase_ = Phase::LookingUpOrigin;
     const auto workspace = keyHolder_ != nullptr ? std::optional(keyHolder_->workspace) : std::nullopt;
     shared_.streamOrigins.find(StreamOrigins::keyOf(*facts_.resumedRequest, workspace),
                                [weak = weak_from_this()](const std::optional<routing::StreamOrigin> &origin) {
                                    const auto self = weak.lock();
-                                   if (self && self->phase_ == Phase::FindingOrigin) {
-                                       self->goOnFrom(origin, "request named");
+                                   if (self && self->phase_ == Phase::LookingUpOrigin) {
+                                       self->resumeFrom(origin, "request named");
                                    }
                                });
 }
 
-/** Sends a request for the rest of a stream only where the stream began. @param source of the origin, for the log */
-void RequestHandler::goOnFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source)
+/** Restricts the request to endpoints that can resume its stream. @param source of the origin, for the log */
+void RequestHandler::resumeFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source)
 {
     const bool isRouted =
         origin && std::any_of(route_->services.begin(), route_->services.end(), [&](const auto &share) {
             return share.service == origin->service;
         });
-    shared_.decisionLog.write("stream taken up",
+    shared_.decisionLog.write("stream resumption",
                               { { "request", facts_.id },
                                 { "resumes", facts_.resumedRequest.value_or(stages::RequestId()) },
                                 { "after_event", facts_.lastEventId.value_or("") },
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -29,7 +29,7 @@
 
     enum class Phase : std::uint8_t {
         New,
-        FindingOrigin,
+        LookingUpOrigin,
         RunningStages,
         SelectingEndpoint,
         AwaitingHead,
@@ -43,9 +43,9 @@
     bool startDeadline();
     int rank() const noexcept;
     const routing::ServiceId &chooseService();
-    bool takesUpStream() const noexcept;
-    void findOrigin();
-    void goOnFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source);
+    bool isResumption() const noexcept;
+    void lookUpOrigin();
+    void resumeFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source);
     void run();
     bool rejectIfQuarantined();
     void rejectStages(const stages::AdmissionDecision &decision);
@@ -125,7 +125,7 @@
     net::SseSplitter eventSplitter_; ///< of the stream of the latest attempt, if it may be resumed
     net::SseBoundary eventBoundary_; ///< of the stream of the latest attempt, if it may not
     std::string lastEventId_; ///< id of the last event forwarded to the caller
-    /** Where the stream began; empty until an event of it is forwarded, unless the caller takes it up again. */
+    /** Where the stream began; empty until an event of it is forwarded, unless the request resumes a stream. */
     std::optional<routing::StreamOrigin> origin_;
     std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
     bool isHeadForwarded_ = false;
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -75,7 +75,7 @@
         const bool isReserved = entry->lifetime() == reserved;
         const bool isBlocked = isReserved ? shared_.notices.quietUntil(*reserved).has_value()
                                           : shared_.notices.blockedUntil(entry->lifetime()).has_value();
-        const bool isOtherVersion = origin && !goesOnAt(*origin, *entry);
+        const bool isOtherVersion = origin && !canResumeAt(*origin, *entry);
         if (wasTried || isFull || isBlocked || isOtherVersion) {
             continue;
         }
@@ -95,15 +95,16 @@
         reachable.empty() ? candidates : reachable, shared_.context.settings.zone, shared_.context.now());
 }
 
-bool RequestPlacement::goesOnAt(const routing::StreamOrigin &origin, const routing::EndpointEntry &entry) const
+bool RequestPlacement::canResumeAt(const routing::StreamOrigin &origin, const routing::EndpointEntry &entry) const
 {
     return origin.matches(entry) && shared_.state.endpoints().isCertain(entry, shared_.context.now());
 }
 
-bool RequestPlacement::canGoOn(const routing::StreamOrigin &origin) const
+bool RequestPlacement::canResume(const routing::StreamOrigin &origin) const
 {
     const auto &available = shared_.state.endpoints().availableEndpoints(service_);
-    return std::any_of(available.begin(), available.end(), [&](const auto *entry) { return goesOnAt(origin, *entry); });
+    return std::any_of(
+        available.begin(), available.end(), [&](const auto *entry) { return canResumeAt(origin, *entry); });
 }
 
 double RequestPlacement::estimatedWorkMs(const routing::EndpointEntry &entry, const ResultBytes &results) const
--- a/tools/gateway/src/request_placement.h
+++ b/tools/gateway/src/request_placement.h
@@ -31,21 +31,21 @@
      *
      * @param maxConnections limit for each endpoint over all VMs; 0 if unknown
      * @param reserved an endpoint that expects the request, whatever its rate limit
-     * @param origin of the stream that the endpoint has to go on with; empty if it may begin
+     * @param origin of the stream that the endpoint has to resume; empty for a new request
      */
     const routing::EndpointEntry *choose(const std::vector<EndpointId> &triedEndpoints,
                                          std::size_t maxConnections,
                                          const std::optional<routing::EndpointLifetime> &reserved,
                                          const std::optional<routing::StreamOrigin> &origin,
                                          const ResultBytes &results) const;
-    /** Returns whether the service has an endpoint that can go on with a stream. */
-    bool canGoOn(const routing::StreamOrigin &origin) const;
+    /** Returns whether the service has an endpoint that can resume a stream. */
+    bool canResume(const routing::StreamOrigin &origin) const;
     /** Returns the work that the request adds at an endpoint, in ms: reading the prompt and transferring the results.
      */
     double estimatedWorkMs(const routing::EndpointEntry &entry, const ResultBytes &results) const;
 
 private:
-    bool goesOnAt(const routing::StreamOrigin &origin, const routing::EndpointEntry &entry) const;
+    bool canResumeAt(const routing::StreamOrigin &origin, const routing::EndpointEntry &entry) const;
     std::uint32_t sharedPromptTokens() const;
 
     RequestContext &shared_;
--- a/tools/gateway/src/stream_origins.cpp
+++ b/tools/gateway/src/stream_origins.cpp
@@ -70,8 +70,8 @@
     , state_(state)
     , table_(maxHeldOrigins)
     , toldCounter_(context.metrics.counter({ "stream_origins_told", "Origins of streams sent to other VMs" }))
-    , foundCounter_(context.metrics.counter({ "stream_origins_found", "Streams taken up whose origin was known" }))
-    , unknownCounter_(context.metrics.counter({ "stream_origins_unknown", "Streams taken up whose origin no VM knew" }))
+    , foundCounter_(context.metrics.counter({ "stream_origins_found", "Resumed streams whose origin was known" }))
+    , unknownCounter_(context.metrics.counter({ "stream_origins_unknown", "Resumed streams whose origin no VM knew" }))
 {
 }
 
--- a/tools/gateway/src/stream_origins.h
+++ b/tools/gateway/src/stream_origins.h
@@ -34,8 +34,8 @@
                                 std::size_t perZone);
 
 /**
- * Where the streams of resumable routes began, so that they go on at the same software version when their callers take
- * them up again, at whatever VM.
+ * Service and software version at which the streams of resumable routes began. A caller may resume a stream through any
+ * VM, and it continues only there.
  *
  * While a service has one version, nothing is sent: each VM knows that version. Otherwise a VM tells some others, one
  * in each zone, where a stream began as soon as its first event is sent to the caller. What is known outlives the VM
--- a/tools/gateway/tests/software_version_test.cpp
+++ b/tools/gateway/tests/software_version_test.cpp
@@ -55,8 +55,8 @@
         return id;
     }
 
-    /** Takes a stream up after its second event, as its caller does. */
-    Response takeUp(std::size_t vm, const std::string &resumed, const std::string &apiKey = key)
+    /** Resumes a stream after its second event, as its caller does. */
+    Response resume(std::size_t vm, const std::string &resumed, const std::string &apiKey = key)
     {
         const auto id = "again-" + std::to_string(++requests);
         return harness.sendAndWait(
@@ -67,7 +67,7 @@
             "b");
     }
 
-    /** Returns the number of streams that an engine has gone on with. */
+    /** Returns the number of streams that an engine has resumed. */
     static std::size_t resumptions(const Endpoint &engine)
     {
         const auto &received = engine.receivedRequests();
@@ -86,7 +86,7 @@
     char name[40];
     char first[8]; ///< version of the engine that breaks off the stream
     char second[8]; ///< of the only other engine
-    bool goesOn;
+    bool isResumed;
 };
 
 AnswerCase answerCases[] = {
@@ -101,12 +101,12 @@
 
 } // namespace
 
-ParameterizedTestParameters(softwareVersion, streamGoesOnWithinAnAnswerAtItsVersionOnly)
+ParameterizedTestParameters(softwareVersion, streamIsResumedWithinAnAnswerAtItsVersionOnly)
 {
     return cr_make_param_array(AnswerCase, answerCases, std::size(answerCases));
 }
 
-ParameterizedTest(AnswerCase *test, softwareVersion, streamGoesOnWithinAnAnswerAtItsVersionOnly)
+ParameterizedTest(AnswerCase *test, softwareVersion, streamIsResumedWithinAnAnswerAtItsVersionOnly)
 {
     Fleet f(1, { test->first, test->second });
     f.engines[0]->setBehaviour(Behaviour::TruncateStream);
@@ -119,8 +119,9 @@
             return f.engines[0]->executionCount() > before;
         },
         "a stream that breaks off");
-    cr_assert_eq(response->isComplete, test->goesOn, "%s", test->name);
-    cr_assert_eq(Fleet::resumptions(*f.engines[1]) > 0, test->goesOn, "%s: wrong engine asked to go on", test->name);
+    cr_assert_eq(response->isComplete, test->isResumed, "%s", test->name);
+    cr_assert_eq(
+        Fleet::resumptions(*f.engines[1]) > 0, test->isResumed, "%s: wrong engine asked to resume", test->name);
 }
 
 /** Until its first event, a stream may run anywhere. */
@@ -161,12 +162,12 @@
 
 } // namespace
 
-ParameterizedTestParameters(softwareVersion, streamGoesOnOverTriesAtItsVersionOnly)
+ParameterizedTestParameters(softwareVersion, streamIsResumedByItsCallerAtItsVersionOnly)
 {
     return cr_make_param_array(TryCase, tryCases, std::size(tryCases));
 }
 
-ParameterizedTest(TryCase *test, softwareVersion, streamGoesOnOverTriesAtItsVersionOnly)
+ParameterizedTest(TryCase *test, softwareVersion, streamIsResumedByItsCallerAtItsVersionOnly)
 {
     constexpr std::size_t streams = 8;
     Fleet f(test->vms, { "v1", "v2", "v2" });
@@ -191,18 +192,18 @@
         f.harness.waitForLogLines({ 0 }, "\"vm live\"", test->vms - 1);
         break;
     }
-    std::size_t goneOn = 0;
+    std::size_t resumed = 0;
     for (const auto &id : begun) {
         // A try may come again, and names the request that brought the first event each time.
         for (int count = 0; count < 2; ++count) {
-            goneOn += f.takeUp(test->next, id).isComplete ? 1 : 0;
+            resumed += f.resume(test->next, id).isComplete ? 1 : 0;
         }
     }
     cr_expect_eq(Fleet::resumptions(*f.engines[1]) + Fleet::resumptions(*f.engines[2]),
                  0U,
-                 "%s: streams went on at another version",
+                 "%s: streams were resumed at another version",
                  test->name);
-    cr_expect_eq(goneOn, 2 * streams, "%s: %zu of %zu tries went on", test->name, goneOn, 2 * streams);
+    cr_expect_eq(resumed, 2 * streams, "%s: %zu of %zu tries were resumed", test->name, resumed, 2 * streams);
 }
 
 namespace
@@ -224,12 +225,12 @@
 
 } // namespace
 
-ParameterizedTestParameters(softwareVersion, streamThatCannotGoOnIsRefusedAtOnce)
+ParameterizedTestParameters(softwareVersion, streamThatCannotBeResumedIsRefusedAtOnce)
 {
     return cr_make_param_array(RefusalCase, refusalCases, std::size(refusalCases));
 }
 
-ParameterizedTest(RefusalCase *test, softwareVersion, streamThatCannotGoOnIsRefusedAtOnce)
+ParameterizedTest(RefusalCase *test, softwareVersion, streamThatCannotBeResumedIsRefusedAtOnce)
 {
     Fleet f(3, { "v1", "v2" });
     auto state = makeState(2, allRoutes());
@@ -247,19 +248,19 @@
     }
     const std::string named = test->resumed;
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
-        const auto response = f.takeUp(vm, named.empty() ? begun : named == "-" ? "" : named, test->apiKey);
+        const auto response = f.resume(vm, named.empty() ? begun : named == "-" ? "" : named, test->apiKey);
         cr_expect_eq(response.status, net::status::unavailable, "%s: status %d", test->name, response.status);
         cr_expect(findRetryAfter(response.headers).has_value(), "%s: no Retry-After", test->name);
     }
     cr_expect_eq(Fleet::resumptions(*f.engines[0]) + Fleet::resumptions(*f.engines[1]), 0U, "%s", test->name);
 }
 
-/** Where one version serves, every try goes on, also of a stream that nobody knows any more. */
-Test(softwareVersion, singleVersionGoesOnWithoutKnowingTheStream)
+/** Where one version serves, every stream is resumed, also one that nobody knows any more. */
+Test(softwareVersion, singleVersionResumesStreamsThatNobodyKnows)
 {
     Fleet f(3, { "v1", "v1" });
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
-        cr_expect(f.takeUp(vm, "never-seen").isComplete, "refused at vm %zu", vm);
+        cr_expect(f.resume(vm, "never-seen").isComplete, "refused at vm %zu", vm);
     }
 }
 
@@ -273,7 +274,7 @@
         f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 2);
     }
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
-        cr_expect(f.takeUp(vm, begun).isComplete, "refused at vm %zu", vm);
+        cr_expect(f.resume(vm, begun).isComplete, "refused at vm %zu", vm);
     }
     cr_expect_eq(Fleet::resumptions(*f.engines[1]), 0U);
 }
@@ -298,9 +299,9 @@
     f.engines[0]->setBehaviour(Behaviour::Stream);
     const auto before = Fleet::resumptions(*f.engines[0]);
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
-        cr_expect_eq(f.takeUp(vm, begun).status, net::status::unavailable, "vm %zu", vm);
+        cr_expect_eq(f.resume(vm, begun).status, net::status::unavailable, "vm %zu", vm);
     }
-    cr_expect_eq(Fleet::resumptions(*f.engines[0]), before, "went on at the next lifetime");
+    cr_expect_eq(Fleet::resumptions(*f.engines[0]), before, "resumed at the next lifetime");
 }
 
 namespace
@@ -309,7 +310,7 @@
 struct RestartCase {
     char name[40];
     char endedVersion[8]; ///< of an engine that leaves before all VMs are killed; empty: there is none
-    bool goesOn;
+    bool isResumed;
 };
 
 RestartCase restartCases[] = {
@@ -346,13 +347,13 @@
     f.harness.start(0, vms);
     for (std::size_t vm = 0; vm < vms; ++vm) {
         f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 1);
-        const auto response = f.takeUp(vm, begun);
+        const auto response = f.resume(vm, begun);
         cr_expect_eq(response.isComplete && response.status == net::status::ok,
-                     test->goesOn,
+                     test->isResumed,
                      "%s: vm %zu, status %d",
                      test->name,
                      vm,
                      response.status);
     }
-    cr_expect_eq(Fleet::resumptions(*f.engines.back()) > 0, test->goesOn, "%s", test->name);
+    cr_expect_eq(Fleet::resumptions(*f.engines.back()) > 0, test->isResumed, "%s", test->name);
 }
