--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -362,8 +362,10 @@
     bool headReceived = false; ///< onHead was called
 };
 
-/** Callbacks of a call, in the order head, body, done; done is called exactly once unless the call is cancelled. */
+/** Callbacks of a call, in the order connected, head, body, done; done is called exactly once unless the call is
+ * cancelled. */
 struct HttpHandlers {
+    std::function<void()> onConnected; ///< a fresh connection has been set up for the call
     std::function<void(const HttpHead &)> onHead;
     std::function<void(std::string_view)> onBody; ///< pieces of the body, chunked coding removed
     std::function<void(const HttpEnd &)> onDone;
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -72,6 +72,13 @@
         return;
     }
     ++pool_.counters().connects;
+    const auto self = shared_from_this(); // the handler may cancel the call
+    if (handlers_.onConnected) {
+        handlers_.onConnected();
+    }
+    if (phase_ == Phase::Ended) {
+        return;
+    }
     if (call_.connectOnly) {
         pool_.giveBack(std::exchange(connection_, nullptr));
         end(std::nullopt);
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -46,11 +46,13 @@
                                                FleetLinks &fleetLinks,
                                                FleetState &fleetState,
                                                EndpointNotices &endpointNotices,
+                                               EndpointReachability &endpointReachability,
                                                PoisonRequestGuard &poisonRequestGuard)
     : context(processContext)
     , links(fleetLinks)
     , state(fleetState)
     , notices(endpointNotices)
+    , reachability(endpointReachability)
     , poisonRequests(poisonRequestGuard)
     , client(context.loop,
              net::HttpClientOptions()
@@ -173,6 +175,7 @@
         requeue(call);
         return;
     }
+    shared_.reachability.onSent(*entry);
     shared_.notices.onSend(entry->lifetime());
     if (const auto blockedUntil = shared_.notices.blockedUntil(entry->lifetime())) {
         scheduler_.backOff(call.endpoint, *blockedUntil);
@@ -225,6 +228,7 @@
     });
     for (const auto &inFlight : aborted) {
         shared_.client.cancel(inFlight.handle);
+        shared_.reachability.onEnded();
         shared_.context.logger.state(
             "call aborted",
             { { "service", service_ }, { "endpoint", endpoint }, { "pieces", inFlight.call.pieces.size() } });
@@ -238,7 +242,9 @@
                                     const net::HttpResponse &response)
 {
     const auto &call = inFlight.call;
+    shared_.reachability.onEnded();
     if (end.headReceived) {
+        shared_.reachability.onReceived();
         shared_.notices.handleResponse(
             inFlight.entry, userplatform::parseResponseMetadata(response.head), inFlight.sentAt);
     }
@@ -305,6 +311,7 @@
     if (isUnreachable) {
         scheduler_.recordUnreachable(call.endpoint, now() + unreachableBackoff, now());
         if (end.error->kind == ErrorKind::Unreachable) {
+            shared_.reachability.onConnectFailed(inFlight.entry);
             shared_.poisonRequests.onUnreachable(inFlight.entry);
         }
     }
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "endpoint_reachability.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
 #include "poison_request_guard.h"
@@ -35,12 +36,14 @@
                            FleetLinks &fleetLinks,
                            FleetState &fleetState,
                            EndpointNotices &endpointNotices,
+                           EndpointReachability &endpointReachability,
                            PoisonRequestGuard &poisonRequestGuard);
 
     Context &context;
     FleetLinks &links;
     FleetState &state;
     EndpointNotices &notices;
+    EndpointReachability &reachability;
     PoisonRequestGuard &poisonRequests;
     net::HttpClient client; ///< connects to endpoints of stages
     telemetry::Counter callCounter;
--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -27,8 +27,14 @@
 {
     startedAt_ = shared_.context.now();
     shared_.loadBalancer.onSendStarted(endpoint_.id, workMs_, startedAt_);
+    shared_.reachability.onSent(endpoint_);
     net::HttpHandlers handlers;
     const auto weak = weak_from_this();
+    handlers.onConnected = [weak] {
+        if (const auto self = weak.lock()) {
+            self->shared_.reachability.onConnected(self->endpoint_);
+        }
+    };
     handlers.onHead = [weak](const net::HttpHead &head) {
         if (const auto self = weak.lock()) {
             self->handleHead(head);
@@ -36,6 +42,7 @@
     };
     handlers.onBody = [weak](std::string_view bytes) {
         if (const auto self = weak.lock()) {
+            self->shared_.reachability.onReceived();
             self->handlers_.onBody(bytes);
         }
     };
@@ -58,6 +65,7 @@
         return;
     }
     isOpen_ = false;
+    shared_.reachability.onEnded();
     if (call_ != net::HttpCallHandle()) {
         shared_.client.cancel(std::exchange(call_, {}));
     }
@@ -82,6 +90,7 @@
 
 void EndpointAttempt::handleHead(const net::HttpHead &head)
 {
+    shared_.reachability.onReceived();
     head_ = head;
     facts_ = userplatform::parseResponseMetadata(head);
     timeToFirstByte_ = shared_.context.now() - startedAt_;
@@ -98,6 +107,9 @@
 void EndpointAttempt::handleEnd(const net::HttpEnd &end)
 {
     call_ = {};
+    if (end.error && end.error->kind == ErrorKind::Unreachable) {
+        shared_.reachability.onConnectFailed(endpoint_);
+    }
     if (isOpen_) {
         handlers_.onEnd(end);
     }
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -59,16 +59,17 @@
           [this] { handleStateChange(); },
           [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); })
     , notices_(context, links_, state_)
+    , client_(context.loop, endpointOptions(context))
+    , reachability_(context, state_, notices_, client_, random_.next(), [] {})
     , poisonPrompts_(context, links_, state_, random_.next(), [this] { handlePartsQuarantined(); })
     , poisonRequests_(context, links_, state_, notices_, poisonPrompts_)
     , streamOrigins_(context, links_, state_)
-    , pieces_(context, links_, state_, notices_, poisonRequests_, random_.next())
-    , client_(context.loop, endpointOptions(context))
+    , pieces_(context, links_, state_, notices_, reachability_, poisonRequests_, random_.next())
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context,      links_,          state_,         notices_,       pieces_,      client_, loadBalancer_,
-                prefixCache_, poisonRequests_, poisonPrompts_, streamOrigins_, decisionLog_, random_ }
+    , shared_ { context,       links_,       state_,          notices_,       reachability_,  pieces_,      client_,
+                loadBalancer_, prefixCache_, poisonRequests_, poisonPrompts_, streamOrigins_, decisionLog_, random_ }
     , callerServer_(context.loop,
                     callerOptions(context),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -3,6 +3,7 @@
 #include "context.h"
 #include "decision_log.h"
 #include "endpoint_notices.h"
+#include "endpoint_reachability.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
 #include "piece_service.h"
@@ -42,11 +43,12 @@
     FleetLinks links_;
     FleetState state_;
     EndpointNotices notices_;
+    net::HttpClient client_;
+    EndpointReachability reachability_;
     PoisonPromptGuard poisonPrompts_;
     PoisonRequestGuard poisonRequests_;
     StreamOrigins streamOrigins_;
     PieceService pieces_;
-    net::HttpClient client_;
     dispatch::LoadBalancer loadBalancer_;
     dispatch::PrefixCacheIndex prefixCache_;
     DecisionLog decisionLog_;
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -50,13 +50,14 @@
                            FleetLinks &links,
                            FleetState &state,
                            EndpointNotices &notices,
+                           EndpointReachability &reachability,
                            PoisonRequestGuard &poisonRequests,
                            std::uint64_t seed)
     : context_(context)
     , links_(links)
     , state_(state)
     , random_(seed)
-    , shared_(context, links, state, notices, poisonRequests)
+    , shared_(context, links, state, notices, reachability, poisonRequests)
 {
 }
 
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -48,6 +48,7 @@
                  FleetLinks &links,
                  FleetState &state,
                  EndpointNotices &notices,
+                 EndpointReachability &reachability,
                  PoisonRequestGuard &poisonRequests,
                  std::uint64_t seed);
     ~PieceService();
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -4,6 +4,7 @@
 #include "context.h"
 #include "decision_log.h"
 #include "endpoint_notices.h"
+#include "endpoint_reachability.h"
 #include "fleet_state.h"
 #include "piece_service.h"
 #include "poison_prompt_guard.h"
@@ -47,6 +48,7 @@
     FleetLinks &links;
     FleetState &state;
     EndpointNotices &notices;
+    EndpointReachability &reachability;
     PieceService &pieces;
     net::HttpClient &client;
     dispatch::LoadBalancer &loadBalancer;
