--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -3,11 +3,14 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -50,10 +53,14 @@
             waitpid(vm.process, nullptr, 0);
         }
         unlink(vm.settingsPath.c_str());
+        unlink(cutFile(vm).c_str());
         if (std::getenv("LACEWING_KEEP_LOGS") == nullptr) {
             unlink(vm.logPath.c_str());
         }
     }
+    for (const int descriptor : blackHole_) {
+        close(descriptor);
+    }
 }
 
 std::string Harness::ipOf(std::size_t host) const
@@ -88,6 +95,57 @@
     return endpoint;
 }
 
+std::string Harness::cutFile(const Vm &vm) const
+{
+    return "/tmp/lacewing-gateway-test-" + std::to_string(getpid()) + "-" + vm.name + ".cut";
+}
+
+void Harness::enableCuts()
+{
+    areCutsEnabled_ = true;
+    constexpr int connections = 3; // the kernel takes a few more than the length of the queue
+    sockaddr_in address {};
+    socklen_t length = sizeof address;
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = inet_addr(ipOf(2).c_str());
+    blackHole_.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    cr_assert_eq(bind(blackHole_[0], reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+    cr_assert_eq(listen(blackHole_[0], 0), 0);
+    cr_assert_eq(getsockname(blackHole_[0], reinterpret_cast<sockaddr *>(&address), &length), 0);
+    blackHolePort_ = ntohs(address.sin_port);
+    for (int index = 0; index < connections; ++index) {
+        blackHole_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(blackHole_.back(), reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    }
+}
+
+void Harness::cutOff(std::size_t vm, PathCut cut, const std::vector<std::string> &endpoints)
+{
+    constexpr const char *words[] = { "none", "refuse", "hang", "refuse-new", "hang-new" };
+    const std::string path = cutFile(vms_[vm]);
+    {
+        std::ofstream file(path + ".new");
+        file << words[std::size_t(cut)] << ' ' << blackHolePort_;
+        for (const auto &endpoint : endpoints_) {
+            if (std::find(endpoints.begin(), endpoints.end(), endpoint->identity().id) != endpoints.end()) {
+                file << ' ' << net::parseAddress(endpoint->address()).value().port;
+            }
+        }
+    }
+    rename((path + ".new").c_str(), path.c_str());
+}
+
+std::size_t Harness::sender(const platform_standin::ReceivedRequest &request) const
+{
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+        if (request.request.remoteAddress.starts_with(vms_[vm].ip + ":")) {
+            return vm;
+        }
+    }
+    cr_assert_fail("request of no VM: %s", request.request.remoteAddress.c_str());
+    return 0;
+}
+
 void Harness::start()
 {
     start(0, vms_.size());
@@ -105,6 +163,7 @@
         std::string program = LACEWING_GATEWAY_PROGRAM;
         std::string flag = "--settings=" + vm.settingsPath;
         char *const arguments[] = { program.data(), flag.data(), nullptr };
+        const std::string cutPath = cutFile(vm);
         vm.process = fork();
         cr_assert_geq(vm.process, 0);
         if (vm.process == 0) {
@@ -117,6 +176,12 @@
             for (int descriptor = STDERR_FILENO + 1; descriptor < maxDescriptors; ++descriptor) {
                 close(descriptor);
             }
+            if (areCutsEnabled_) {
+                setenv("LACEWING_TEST_CUT_FILE", cutPath.c_str(), 1);
+                setenv("LACEWING_TEST_CUT_IP", ipOf(2).c_str(), 1);
+                setenv("LACEWING_TEST_CUT_SOURCE", vm.ip.c_str(), 1);
+                setenv("LD_PRELOAD", LACEWING_TEST_CUT_LIBRARY, 1);
+            }
             execv(program.c_str(), arguments);
             _exit(127);
         }
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -23,6 +23,15 @@
     std::string logPath;
 };
 
+/** How a VM loses its path to endpoints. */
+enum class PathCut : std::uint8_t {
+    None,
+    Refuse, ///< open connections are reset, new ones refused
+    Hang, ///< open connections fall silent, new ones are not answered
+    RefuseNew, ///< open connections live on, new ones are refused
+    HangNew, ///< open connections live on, new ones are not answered
+};
+
 /** A response as seen by the caller. */
 struct Response {
     bool isComplete = false;
@@ -47,6 +56,12 @@
     platform_standin::RawEndpoint &addRawEndpoint(const std::string &id,
                                                   const std::string &service,
                                                   platform_standin::RawEndpoint::Script script);
+    /** Lets cutOff() work for the VMs that are started from now on. */
+    void enableCuts();
+    /** Cuts a VM off from some endpoints, or ends that. @param endpoints their ids; empty: all */
+    void cutOff(std::size_t vm, PathCut cut, const std::vector<std::string> &endpoints = {});
+    /** Returns the VM that has sent a request to an endpoint; only for VMs for which cutOff() works. */
+    std::size_t sender(const platform_standin::ReceivedRequest &request) const;
     /** Starts all gateways and waits until they are ready. */
     void start();
     /** Starts the gateways of some VMs and waits until they are ready. */
@@ -114,6 +129,7 @@
 
 private:
     std::string ipOf(std::size_t host) const;
+    std::string cutFile(const Vm &vm) const;
     std::size_t countLogLines(const Vm &vm, const std::string &text) const;
 
     net::EventLoop loop_;
@@ -122,6 +138,9 @@
     std::vector<std::unique_ptr<platform_standin::Endpoint>> endpoints_;
     std::vector<std::unique_ptr<platform_standin::RawEndpoint>> rawEndpoints_;
     net::HttpClient client_;
+    bool areCutsEnabled_ = false;
+    std::vector<int> blackHole_; ///< a listener whose queue is full, and the connections that fill it
+    std::uint16_t blackHolePort_ = 0;
     std::vector<Vm> vms_;
     std::size_t receivedBytes_ = 0;
 };
