Gateway: a VM that has lost its own path reports no crashes of endpoints

Cause, as a class: a failure of one's own path taken for a failure of what lies behind it, and told to others as a fact. A refused connection after a lost one counted as a crash, whoever was at fault.

Now a crash is recorded once another endpoint accepts a connection, two attempts at a time, up to eight, those that failed lately last. Without it the loss is kept, as the registration may still show that the lifetime has ended. A VM with no other endpoint records the crash as before. Cost: one or two connections for each crash that a VM notices.

--- a/libs/reachability/include/reachability/reachability.h
+++ b/libs/reachability/include/reachability/reachability.h
@@ -44,7 +44,7 @@
     explicit ReachabilityMonitor(std::uint64_t seed);
 
     /** Called when a new connection to an endpoint has been set up. */
-    void onConnected(const Target &target, Time now);
+    void onConnected(const Target &target);
     /** Called when no new connection to an endpoint could be set up. */
     void onConnectFailed(const Target &target, Time now);
     /** Called when a request is sent on a connection. */
@@ -73,10 +73,8 @@
     bool isUnreachable(const routing::ServiceId &service) const;
     /** Returns the unreachable services, sorted. */
     std::vector<routing::ServiceId> unreachableServices() const;
-    /** Returns whether failures to connect may be due to this VM's path rather than to the endpoints. */
-    bool isSuspect(const routing::ServiceId &service) const;
-    /** Returns whether another endpoint than this one accepted a connection at or after a time. */
-    bool hasReachedOther(const EndpointId &endpoint, Time since) const;
+    /** Returns whether the latest connection attempt to an endpoint failed a short time ago. */
+    bool hasFailed(const Target &target) const;
 
 private:
     struct Service {
@@ -93,11 +91,59 @@
     Random random_;
     std::map<routing::ServiceId, Service> services_;
     std::set<Target> probing_;
-    std::map<EndpointId, Time> connectedAt_; ///< of the two endpoints that accepted a connection last
     std::size_t inFlight_ = 0;
     Target lastSent_;
     Time silentSince_; ///< valid while requests are in flight
     std::optional<Time> silenceProbedAt_;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Relays
+
+/** A VM that may send requests for another one. */
+struct RelayCandidate {
+    VmId vm;
+    bool isOwnZone = false;
+    double cpuShare = 1; ///< CPU cores that the VM may use
+    std::size_t inFlight = 0; ///< requests that this VM has it send at present
+};
+
+/**
+ * Selects the VM that sends a request: one of this VM's zone if there is any.
+ *
+ * Of two candidates that are drawn at random the one with less to do for its size is taken, so that VMs that are cut
+ * off together don't all choose the same one.
+ *
+ * @return null if there are no candidates
+ */
+const RelayCandidate *selectRelay(const std::vector<RelayCandidate> &candidates, Random &random);
+
+/**
+ * Limits the requests that a VM sends for others at a time, so that those of its own callers are not delayed.
+ *
+ * A request that is relayed costs some processor time and passes the VM's link twice.
+ */
+class RelayLimit
+{
+public:
+    /** @param cpuShare CPU cores that the VM may use @param linkMbps bandwidth of its link; 0: unknown */
+    RelayLimit(double cpuShare, double linkMbps) noexcept;
+
+    /** Counts a request. @return false if there are as many as allowed */
+    bool tryAcquire() noexcept;
+    void release() noexcept;
+    std::size_t inFlight() const noexcept
+    {
+        return inFlight_;
+    }
+    std::size_t limit() const noexcept
+    {
+        return limit_;
+    }
+
+private:
+    std::size_t limit_;
+    std::size_t inFlight_ = 0;
+};
+
 } // namespace lacewing::reachability
--- a/libs/reachability/src/reachability_monitor.cpp
+++ b/libs/reachability/src/reachability_monitor.cpp
@@ -11,10 +11,12 @@
 constexpr Duration failureRetention = std::chrono::seconds(2);
 /** Number of endpoints that fail in a row after which further ones are probed. */
 constexpr std::size_t suspicionFailures = 2;
-/** Number of endpoints that fail in a row after which a service is unreachable. A crash of a quarter of the endpoints
- * at once looks like that once in 256 times. */
-constexpr std::size_t verdictFailures = 4;
-constexpr std::size_t probesPerRound = 3;
+/** Number of endpoints that fail in a row after which a service is unreachable; all if it has fewer. A VM that reaches
+ * some endpoints has to use these: VMs that each reach others would take all of them for unreachable. */
+constexpr std::size_t verdictFailures = 12;
+/** Endpoints that are probed first: crashes of several endpoints are more frequent than a cut. */
+constexpr std::size_t firstProbes = 3;
+constexpr std::size_t furtherProbes = 8;
 /** Number of endpoints that must accept connections for the service to be reachable again: more than one, as a path
  * may be open to a single endpoint only. */
 constexpr std::size_t recoverySuccesses = 2;
@@ -32,15 +34,9 @@
 {
 }
 
-void ReachabilityMonitor::onConnected(const Target &target, Time now)
+void ReachabilityMonitor::onConnected(const Target &target)
 {
     probing_.erase(target);
-    connectedAt_[target.endpoint] = now;
-    if (connectedAt_.size() > 2) {
-        connectedAt_.erase(std::min_element(connectedAt_.begin(), connectedAt_.end(), [](const auto &a, const auto &b) {
-            return a.second < b.second;
-        }));
-    }
     Service &service = services_[target.service];
     service.mustCheck = false;
     if (service.unreachableSince) {
@@ -112,7 +108,10 @@
     }
     const bool isSilent = inFlight_ > 0 && now - silentSince_ >= silenceTimeout;
     const std::size_t threshold = std::min(isSilent ? 1 : suspicionFailures, available);
-    return !service.failures.empty() && service.failures.size() >= threshold ? probesPerRound : 0;
+    if (service.failures.empty() || service.failures.size() < threshold) {
+        return 0;
+    }
+    return service.failures.size() < firstProbes ? firstProbes : furtherProbes;
 }
 
 std::vector<Target> ReachabilityMonitor::takeDueProbes(
@@ -213,18 +212,10 @@
     return unreachable;
 }
 
-bool ReachabilityMonitor::isSuspect(const routing::ServiceId &service) const
-{
-    const auto found = services_.find(service);
-    return found != services_.end()
-        && (found->second.unreachableSince || found->second.failures.size() >= suspicionFailures);
-}
-
-bool ReachabilityMonitor::hasReachedOther(const EndpointId &endpoint, Time since) const
+bool ReachabilityMonitor::hasFailed(const Target &target) const
 {
-    return std::any_of(connectedAt_.begin(), connectedAt_.end(), [&](const auto &connection) {
-        return connection.first != endpoint && connection.second >= since;
-    });
+    const auto found = services_.find(target.service);
+    return found != services_.end() && found->second.failures.contains(target.endpoint);
 }
 
 } // namespace lacewing::reachability
--- a/libs/reachability/tests/reachability_monitor_test.cpp
+++ b/libs/reachability/tests/reachability_monitor_test.cpp
@@ -120,7 +120,7 @@
             attempts_.begin(), attempts_.end(), [&](const Attempt &attempt) { return attempt.endsAt > now_; });
         for (auto attempt = ended; attempt != attempts_.end(); ++attempt) {
             if (attempt->succeeds) {
-                monitor_.onConnected(attempt->target, now_);
+                monitor_.onConnected(attempt->target);
             } else {
                 monitor_.onConnectFailed(attempt->target, now_);
             }
@@ -213,6 +213,7 @@
     { "silence for a minute", Connections::Silent, 60s, 0 },
     { "one endpoint in nine crashes", Connections::Work, 10s, 0.11 },
     { "a third of the endpoints crashes", Connections::Work, 10s, 0.34 },
+    { "all but three are out of reach", Connections::Work, 10s, 0.67 },
 };
 
 } // namespace
--- a/tools/gateway/src/endpoint_reachability.cpp
+++ b/tools/gateway/src/endpoint_reachability.cpp
@@ -1,5 +1,8 @@
 #include "endpoint_reachability.h"
 
+#include <algorithm>
+#include <map>
+
 namespace lacewing::gateway
 {
 namespace
@@ -7,6 +10,9 @@
 
 /** Connections within a region take a few ms. */
 constexpr Duration connectTimeout = 400ms;
+/** Endpoints that tell by accepting a connection that another one is at fault. Several may be down as well. */
+constexpr std::size_t maxCheckedEndpoints = 8;
+constexpr std::size_t attemptsAtOnce = 2;
 
 reachability::Target targetOf(const routing::EndpointEntry &endpoint)
 {
@@ -26,7 +32,8 @@
     , notices_(notices)
     , client_(client)
     , onChanged_(std::move(onChanged))
-    , monitor_(seed)
+    , random_(seed)
+    , monitor_(random_.next())
     , probeCounter_(context.metrics.counter(
           { "reachability_probes", "Connection attempts that tell whether this VM reaches a service" }))
     , unreachableGauge_(context.metrics.gauge(
@@ -36,7 +43,7 @@
 
 void EndpointReachability::onConnected(const routing::EndpointEntry &endpoint)
 {
-    monitor_.onConnected(targetOf(endpoint), context_.now());
+    monitor_.onConnected(targetOf(endpoint));
     if (monitor_.isUnreachable(endpoint.service)) {
         scheduleEvaluation();
     }
@@ -131,19 +138,87 @@
         monitor_.onConnectFailed(target, context_.now());
         return;
     }
+    attemptConnection(*entry, [](bool) {});
+}
+
+void EndpointReachability::attemptConnection(const routing::EndpointEntry &endpoint,
+                                             std::function<void(bool isConnected)> onDone)
+{
     probeCounter_.add();
     net::HttpCall call;
-    call.address = entry->address;
+    call.address = endpoint.address;
     call.connectOnly = true;
     net::HttpHandlers handlers;
-    handlers.onDone = [this, endpoint = *entry](const net::HttpEnd &end) {
+    handlers.onDone = [this, endpoint, onDone = std::move(onDone)](const net::HttpEnd &end) {
         if (end.error) {
             onConnectFailed(endpoint);
         } else {
             onConnected(endpoint);
         }
+        onDone(!end.error);
     };
     client_.start(std::move(call), { connectTimeout, 0s, 0s, 0s }, std::move(handlers));
 }
 
+struct EndpointReachability::OthersCheck {
+    std::vector<routing::EndpointEntry> remaining; ///< not attempted yet
+    std::size_t pending = 0; ///< attempts in progress
+    std::function<void(bool)> onDone; ///< null once it has been called
+};
+
+void EndpointReachability::checkOthers(const routing::EndpointEntry &endpoint,
+                                       std::function<void(bool isEndpointAtFault)> onDone)
+{
+    const auto check = std::make_shared<OthersCheck>();
+    check->remaining = otherEndpoints(endpoint);
+    check->onDone = std::move(onDone);
+    if (check->remaining.empty()) {
+        check->onDone(true);
+    } else {
+        continueCheck(check);
+    }
+}
+
+void EndpointReachability::continueCheck(const std::shared_ptr<OthersCheck> &check)
+{
+    for (; check->pending < attemptsAtOnce && !check->remaining.empty(); ++check->pending) {
+        const auto other = check->remaining.back();
+        check->remaining.pop_back();
+        attemptConnection(other, [this, check](bool isConnected) {
+            --check->pending;
+            if (!check->onDone) {
+                return;
+            }
+            if (isConnected || (check->pending == 0 && check->remaining.empty())) {
+                std::exchange(check->onDone, nullptr)(isConnected);
+            } else {
+                continueCheck(check);
+            }
+        });
+    }
+}
+
+/** Returns some other endpoints in random order, those that have failed lately first. */
+std::vector<routing::EndpointEntry> EndpointReachability::otherEndpoints(const routing::EndpointEntry &endpoint)
+{
+    std::map<std::pair<bool, std::uint64_t>, const routing::EndpointEntry *> sorted;
+    if (const auto &routes = state_.routes()) {
+        for (const auto &service : routes->state().services) {
+            for (const auto *entry : state_.endpoints().availableEndpoints(service->id)) {
+                if (entry->id != endpoint.id && !notices_.quietUntil(entry->lifetime())) {
+                    sorted[{ !monitor_.hasFailed(targetOf(*entry)), random_.next() }] = entry;
+                }
+            }
+        }
+    }
+    std::vector<routing::EndpointEntry> chosen;
+    for (const auto &[order, entry] : sorted) {
+        chosen.push_back(*entry);
+    }
+    if (chosen.size() > maxCheckedEndpoints) {
+        chosen.erase(chosen.begin(), chosen.end() - static_cast<std::ptrdiff_t>(maxCheckedEndpoints));
+    }
+    return chosen;
+}
+
 } // namespace lacewing::gateway
--- a/tools/gateway/src/endpoint_reachability.h
+++ b/tools/gateway/src/endpoint_reachability.h
@@ -7,6 +7,7 @@
 #include <reachability/reachability.h>
 
 #include <functional>
+#include <memory>
 #include <vector>
 
 namespace lacewing::gateway
@@ -40,22 +41,35 @@
     {
         return monitor_.isUnreachable(service);
     }
+    /**
+     * Finds out whether an endpoint that accepts no connection is at fault, rather than this VM's path: whether another
+     * endpoint accepts one. Without another endpoint there is nothing to tell them apart by, and it is at fault.
+     *
+     * @param onDone called once
+     */
+    void checkOthers(const routing::EndpointEntry &endpoint, std::function<void(bool isEndpointAtFault)> onDone);
     std::vector<routing::ServiceId> unreachableServices() const
     {
         return monitor_.unreachableServices();
     }
 
 private:
+    struct OthersCheck;
+
     void scheduleEvaluation();
     void scheduleSilenceCheck();
     void evaluate();
     void probe(const reachability::Target &target);
+    void attemptConnection(const routing::EndpointEntry &endpoint, std::function<void(bool isConnected)> onDone);
+    void continueCheck(const std::shared_ptr<OthersCheck> &check);
+    std::vector<routing::EndpointEntry> otherEndpoints(const routing::EndpointEntry &endpoint);
 
     Context &context_;
     FleetState &state_;
     const EndpointNotices &notices_;
     net::HttpClient &client_;
     std::function<void()> onChanged_;
+    Random random_;
     reachability::ReachabilityMonitor monitor_;
     bool isEvaluationScheduled_ = false;
     TimerHandle timer_;
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -28,12 +28,17 @@
 
 } // namespace
 
-PoisonRequestGuard::PoisonRequestGuard(
-    Context &context, FleetLinks &links, FleetState &state, const EndpointNotices &notices, PoisonPromptGuard &prompts)
+PoisonRequestGuard::PoisonRequestGuard(Context &context,
+                                       FleetLinks &links,
+                                       FleetState &state,
+                                       const EndpointNotices &notices,
+                                       EndpointReachability &reachability,
+                                       PoisonPromptGuard &prompts)
     : context_(context)
     , links_(links)
     , state_(state)
     , notices_(notices)
+    , reachability_(reachability)
     , prompts_(prompts)
     , crashCounter_(
           context.metrics.counter({ "endpoint_crashes", "Crashes of endpoints that ran requests of this VM" }))
@@ -114,8 +119,10 @@
     handlers.onDone = [this, endpoint, attemptedAt = context_.now()](const net::HttpEnd &end) {
         const auto check = checkedEndpoints_.extract(endpoint.lifetime());
         if (end.error && end.error->kind == ErrorKind::Unreachable) {
+            reachability_.onConnectFailed(endpoint);
             onUnreachable(endpoint);
         } else if (!end.error) {
+            reachability_.onConnected(endpoint);
             crashDetector_.onReachable(endpoint.lifetime(), attemptedAt);
             // An endpoint that has crashed is down for longer than the delay of this attempt.
             state_.endpoints().clearDoubt(endpoint.lifetime());
@@ -131,8 +138,37 @@
 {
     const auto lifetime = endpoint.lifetime();
     state_.endpoints().markDoubtful(lifetime, context_.now());
-    recordCrash(lifetime, crashDetector_.onUnreachable(lifetime, context_.now()));
-    recordPieceCrash(lifetime, pieceCrashDetector_.onUnreachable(lifetime, context_.now()));
+    auto requests = crashDetector_.onUnreachable(lifetime, context_.now());
+    auto pieces = pieceCrashDetector_.onUnreachable(lifetime, context_.now());
+    if (!requests.empty() || !pieces.empty()) {
+        confirmCrash(endpoint, std::move(requests), std::move(pieces));
+    }
+}
+
+/** Records a crash unless this VM's own path to the endpoints is at fault. */
+void PoisonRequestGuard::confirmCrash(const routing::EndpointEntry &endpoint,
+                                      std::vector<dispatch::LostRequest> requests,
+                                      std::vector<dispatch::LostRequest> pieces)
+{
+    const auto lifetime = endpoint.lifetime();
+    reachability_.checkOthers(
+        endpoint, [this, lifetime, requests = std::move(requests), pieces = std::move(pieces)](bool isEndpointAtFault) {
+            if (isEndpointAtFault) {
+                recordCrash(lifetime, requests);
+                recordPieceCrash(lifetime, pieces);
+                return;
+            }
+            context_.logger.state(
+                "crash not confirmed",
+                { { "endpoint", lifetime.endpoint }, { "requests", requests.size() + pieces.size() } });
+            // Its registration may still show that its lifetime has ended.
+            for (const auto &lost : requests) {
+                crashDetector_.onConnectionLost(lifetime, lost);
+            }
+            for (const auto &lost : pieces) {
+                pieceCrashDetector_.onConnectionLost(lifetime, lost);
+            }
+        });
 }
 
 void PoisonRequestGuard::onEndpointsChanged()
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -3,6 +3,7 @@
 #include "bulk_response.h"
 #include "context.h"
 #include "endpoint_notices.h"
+#include "endpoint_reachability.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
 #include "poison_prompt_guard.h"
@@ -40,6 +41,7 @@
                        FleetLinks &links,
                        FleetState &state,
                        const EndpointNotices &notices,
+                       EndpointReachability &reachability,
                        PoisonPromptGuard &prompts);
 
     /** Returns whether the request must not be sent to endpoints any more. */
@@ -92,6 +94,9 @@
                        net::HttpClient &client,
                        std::function<void()> onChecked);
     void attemptConnection(const routing::EndpointEntry &endpoint, net::HttpClient &client);
+    void confirmCrash(const routing::EndpointEntry &endpoint,
+                      std::vector<dispatch::LostRequest> requests,
+                      std::vector<dispatch::LostRequest> pieces);
     void recordCrash(const routing::EndpointLifetime &endpoint, const std::vector<dispatch::LostRequest> &requests);
     void recordCrash(const routing::EndpointLifetime &endpoint, Fingerprint request);
     void recordPieceCrash(const routing::EndpointLifetime &endpoint, const std::vector<dispatch::LostRequest> &pieces);
@@ -106,6 +111,7 @@
     FleetLinks &links_;
     FleetState &state_;
     const EndpointNotices &notices_;
+    EndpointReachability &reachability_;
     PoisonPromptGuard &prompts_;
     dispatch::CrashDetector crashDetector_;
     dispatch::PoisonRequestTracker suspects_;
