Gateway: a VM that reaches no endpoint of a service has other VMs send its requests

Cause, as a class: the reachability of a resource was kept for each resource alone, and each VM used only its own path. That a VM reaches nothing was nobody's knowledge: a request tried all endpoints and was refused, and a VM without a path went on batching pieces.

- ReachabilityMonitor's verdict is in force: all VMs are told of it.
A request for an unreachable service goes to one VM that reaches it (own zone first, the less loaded of two drawn), which makes one attempt and passes the answer on as it comes.
It never asks a third VM.
Connections, quiet times, rate limits, health and crashes count there; retries, promises and the answer stay with the caller's VM.
An attempt that was not sent is tried at up to three VMs; whatever may have been sent counts as run.
- A limit by processor share and link keeps relayed requests below what a VM's own callers need; over it they are refused at once.
- VMs that don't reach the services of stages don't batch pieces; pending ones move.
- Requests that may be repeated leave a silent endpoint once the service is known to be unreachable.

--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -5,8 +5,6 @@
 namespace
 {
 
-constexpr int firstNonSuccessStatus = 300;
-
 /** Time limit for connecting to an endpoint; connections within a region take a few ms. */
 constexpr Duration connectTimeout = 400ms;
 
@@ -16,16 +14,13 @@
                                  routing::EndpointEntry endpoint,
                                  double workMs,
                                  AttemptHandlers handlers)
-    : shared_(shared)
-    , endpoint_(std::move(endpoint))
+    : Attempt(shared, std::move(endpoint), std::move(handlers))
     , workMs_(workMs)
-    , handlers_(std::move(handlers))
 {
 }
 
 void EndpointAttempt::start(net::HttpCall call)
 {
-    startedAt_ = shared_.context.now();
     shared_.loadBalancer.onSendStarted(endpoint_.id, workMs_, startedAt_);
     shared_.reachability.onSent(endpoint_);
     net::HttpHandlers handlers;
@@ -43,7 +38,7 @@
     handlers.onBody = [weak](std::string_view bytes) {
         if (const auto self = weak.lock()) {
             self->shared_.reachability.onReceived();
-            self->handlers_.onBody(bytes);
+            self->forwardBody(bytes);
         }
     };
     handlers.onDone = [weak](const net::HttpEnd &end) {
@@ -73,27 +68,10 @@
     shared_.loadBalancer.onSendEnded(endpoint_.id, outcome, timeToFirstByte_, shared_.context.now());
 }
 
-std::optional<Duration> EndpointAttempt::timeSinceFirstByte() const
-{
-    return timeToFirstByte_ ? std::optional(shared_.context.now() - startedAt_ - *timeToFirstByte_) : std::nullopt;
-}
-
-bool EndpointAttempt::isSuccess() const noexcept
-{
-    return head_.status >= net::status::ok && head_.status < firstNonSuccessStatus;
-}
-
-bool EndpointAttempt::isAuthentic(const stages::RequestId &request) const
-{
-    return isSuccess() && facts_.hasReceipt && facts_.requestId == request.text();
-}
-
 void EndpointAttempt::handleHead(const net::HttpHead &head)
 {
+    recordHead(head);
     shared_.reachability.onReceived();
-    head_ = head;
-    facts_ = userplatform::parseResponseMetadata(head);
-    timeToFirstByte_ = shared_.context.now() - startedAt_;
     if (facts_.load) {
         shared_.loadBalancer.onLoadReported(endpoint_.id, *facts_.load, shared_.context.now());
     }
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -106,6 +106,23 @@
     localHeartbeat_.endpointsEndOffset = endpointsEndOffset;
 }
 
+void FleetLinks::setUnreachableServices(const std::vector<routing::ServiceId> &services)
+{
+    UnreachableServicesMessage message;
+    for (const auto &service : services) {
+        message.services.push_back(service.text());
+    }
+    localHeartbeat_.unreachableServices = message.services;
+    broadcast(encodeMessage(MessageKind::UnreachableServices, message));
+}
+
+bool FleetLinks::reaches(const VmId &vm, const routing::ServiceId &service) const
+{
+    const auto *peerVm = find(vm);
+    const auto &unreachable = (peerVm != nullptr ? peerVm->heartbeat : localHeartbeat_).unreachableServices;
+    return std::find(unreachable.begin(), unreachable.end(), service.text()) == unreachable.end();
+}
+
 void FleetLinks::leave()
 {
     localHeartbeat_.isLeaving = true;
@@ -327,7 +344,17 @@
         deliver(std::function<void(const RecordsPush &)>(
             [&](const RecordsPush &push) { handlers_.onRecordsPushed(from.vm, push); }));
         break;
+    case MessageKind::UnreachableServices:
+        deliver(std::function<void(const UnreachableServicesMessage &)>([&](const auto &unreachable) {
+            const auto found = vms_.find(from.vm);
+            if (found != vms_.end() && found->second.heartbeat.unreachableServices != unreachable.services) {
+                found->second.heartbeat.unreachableServices = unreachable.services;
+                handlers_.onMembersChanged();
+            }
+        }));
+        break;
     case MessageKind::Pieces:
+    case MessageKind::Relay:
     case MessageKind::Records:
     case MessageKind::State:
     case MessageKind::StreamOrigin:
@@ -345,6 +372,11 @@
             handlers_.onPieces(std::move(decoded.value()), std::move(writer));
             return;
         }
+    } else if (kind == MessageKind::Relay) {
+        if (auto decoded = wire::decode<RelayRequest>(body)) {
+            handlers_.onRelay(std::move(decoded.value()), std::move(writer));
+            return;
+        }
     } else if (kind == MessageKind::Records) {
         if (const auto decoded = wire::decode<RecordsRequest>(body)) {
             handlers_.onRecords(decoded.value(), std::move(writer));
@@ -377,6 +409,7 @@
     PeerVm &vm = vms_[id];
     const bool wasLive = hasRecentHeartbeat(vm);
     const bool hasChanged = !wasLive || vm.heartbeat.isLeaving != heartbeat.isLeaving;
+    const bool reachesOthers = vm.heartbeat.unreachableServices != heartbeat.unreachableServices;
     vm.lastHeartbeatAt = context_.now();
     vm.heartbeat = heartbeat;
     if (!wasLive) {
@@ -386,6 +419,9 @@
     if (hasChanged) {
         updateMembers();
     }
+    if (reachesOthers) {
+        handlers_.onMembersChanged();
+    }
     handlers_.onHeartbeat(id, heartbeat);
 }
 
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -3,6 +3,7 @@
 #include "context.h"
 #include "heartbeat_schedule.h"
 #include "peer_messages.h"
+#include "relay_messages.h"
 
 #include <peer/peer.h>
 
@@ -37,10 +38,12 @@
     std::function<void(PiecesRequest, peer::PeerCallWriter)> onPieces;
     std::function<void(const RecordsRequest &, peer::PeerCallWriter)> onRecords;
     std::function<void(const StateRequest &, peer::PeerCallWriter)> onStateRequested;
+    std::function<void(RelayRequest, peer::PeerCallWriter)> onRelay;
     std::function<void(peer::PeerCallWriter)> onSuspectsRequested;
     std::function<void(const VmId &, const Heartbeat &)> onHeartbeat;
     std::function<void(Heartbeat &)> fillHeartbeat; ///< fills in the contents of the next heartbeat
-    std::function<void()> onMembersChanged; ///< called when a VM joined, left or is no longer live
+    /** Called when a VM joined, left, is no longer live, or reaches other services than before. */
+    std::function<void()> onMembersChanged;
 };
 
 /**
@@ -65,6 +68,10 @@
     void removeVm(const VmId &vm);
     /** Sets how up to date this VM's view is, for its heartbeats. */
     void setView(const StateVersionMessage &state, std::uint64_t endpointsEndOffset, bool isReadingStore);
+    /** Tells all VMs of which services this VM reaches no endpoint. */
+    void setUnreachableServices(const std::vector<routing::ServiceId> &services);
+    /** Returns whether a VM, or this VM, reaches endpoints of a service as far as it has said. */
+    bool reaches(const VmId &vm, const routing::ServiceId &service) const;
     /** Announces that this VM accepts no more work from other VMs. */
     void leave();
 
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -60,7 +60,8 @@
           [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); })
     , notices_(context, links_, state_)
     , client_(context.loop, endpointOptions(context))
-    , reachability_(context, state_, notices_, client_, random_.next(), [] {})
+    , reachability_(context, state_, notices_, client_, random_.next(), [this] { handleReachabilityChange(); })
+    , relayPeers_(context, links_, random_.next())
     , poisonPrompts_(context, links_, state_, random_.next(), [this] { handlePartsQuarantined(); })
     , poisonRequests_(context, links_, state_, notices_, reachability_, poisonPrompts_)
     , streamOrigins_(context, links_, state_)
@@ -68,8 +69,10 @@
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context,       links_,       state_,          notices_,       reachability_,  pieces_,      client_,
-                loadBalancer_, prefixCache_, poisonRequests_, poisonPrompts_, streamOrigins_, decisionLog_, random_ }
+    , shared_ { context,         links_,         state_,         notices_,      reachability_,
+                relayPeers_,     pieces_,        client_,        loadBalancer_, prefixCache_,
+                poisonRequests_, poisonPrompts_, streamOrigins_, decisionLog_,  random_ }
+    , relayService_(shared_)
     , callerServer_(context.loop,
                     callerOptions(context),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
@@ -113,6 +116,7 @@
         poisonPrompts_.expire(now);
         notices_.expire(now);
         streamOrigins_.expire(now);
+        relayPeers_.expire(now);
         shared_.rejectionHistory.expire(now);
     });
     context_.loop.run();
@@ -144,6 +148,7 @@
     context_.logger.state("stopping",
                           { { "vm", context_.settings.vm }, { "active_requests", shared_.activeRequests.size() } });
     links_.leave();
+    relayService_.stop();
     state_.deregister([] {});
     callerServer_.closeBetweenRequests([] {});
     context_.loop.timers().every(
@@ -157,8 +162,8 @@
         isClosing_ = true;
         callerServer_.stopAccepting();
     }
-    const bool isIdle =
-        isClosing_ && shared_.activeRequests.empty() && pieces_.pending() == 0 && callerServer_.counters().open == 0;
+    const bool isIdle = isClosing_ && shared_.activeRequests.empty() && pieces_.pending() == 0
+        && relayService_.pending() == 0 && callerServer_.counters().open == 0;
     if (isIdle || elapsed >= context_.settings.stopGracePeriod - stopMargin) {
         context_.logger.state("stopped",
                               { { "vm", context_.settings.vm },
@@ -221,6 +226,17 @@
     }
 }
 
+void Gateway::handleReachabilityChange()
+{
+    links_.setUnreachableServices(reachability_.unreachableServices());
+    pieces_.refresh();
+    const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
+                                                                shared_.activeRequests.end());
+    for (const auto &request : requests) {
+        request->handleReachabilityChange();
+    }
+}
+
 FleetHandlers Gateway::makeFleetHandlers()
 {
     FleetHandlers handlers;
@@ -248,6 +264,9 @@
     handlers.onStateRequested = [this](const StateRequest &request, peer::PeerCallWriter writer) {
         state_.serveState(request, std::move(writer));
     };
+    handlers.onRelay = [this](RelayRequest request, peer::PeerCallWriter writer) {
+        relayService_.serve(std::move(request), std::move(writer));
+    };
     handlers.onRecords = [this](const RecordsRequest &request, peer::PeerCallWriter writer) {
         state_.serveRecords(request, std::move(writer));
     };
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -9,6 +9,7 @@
 #include "piece_service.h"
 #include "poison_prompt_guard.h"
 #include "poison_request_guard.h"
+#include "relay_service.h"
 #include "request_handler.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -35,6 +36,7 @@
     void handleStateChange();
     void handleQuarantineRead(std::string_view name, const std::string &bytes);
     void handlePartsQuarantined();
+    void handleReachabilityChange();
     FleetHandlers makeFleetHandlers();
 
     Context &context_;
@@ -45,6 +47,7 @@
     EndpointNotices notices_;
     net::HttpClient client_;
     EndpointReachability reachability_;
+    RelayPeers relayPeers_;
     PoisonPromptGuard poisonPrompts_;
     PoisonRequestGuard poisonRequests_;
     StreamOrigins streamOrigins_;
@@ -53,6 +56,7 @@
     dispatch::PrefixCacheIndex prefixCache_;
     DecisionLog decisionLog_;
     RequestContext shared_;
+    RelayService relayService_;
     net::HttpServer callerServer_;
     net::HttpServer readinessServer_;
     net::HttpServer metricsServer_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -102,6 +102,7 @@
     double linkMbps = 0; ///< bandwidth of its link; 0: unknown
     std::vector<RateLimitMessage> rateLimits; ///< that it knows
     std::uint64_t stateDigest = 0; ///< of the contents of the desired state in force
+    std::vector<std::string> unreachableServices; ///< of which it reaches no endpoint
 
     LACEWING_MEMBERS(vm,
                      zone,
@@ -119,7 +120,8 @@
                      suspectsDigest,
                      linkMbps,
                      rateLimits,
-                     stateDigest)
+                     stateDigest,
+                     unreachableServices)
 };
 
 /** One piece in a call to the VM that coordinates the piece's cell. */
@@ -342,7 +344,9 @@
     StateAnnouncement = 11,
     State = 12,
     StreamOrigins = 13,
-    StreamOrigin = 14
+    StreamOrigin = 14,
+    UnreachableServices = 15,
+    Relay = 16
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -208,6 +208,36 @@
         links_.cancel(submission->call);
         reassign(submission, submission->triedVms.back(), { ErrorKind::Silent, "VM sends no heartbeats" });
     }
+    reassignUnreachable();
+}
+
+/** Reassigns pieces that are pending on a VM that reaches no endpoints of stages, if another VM does. */
+void PieceService::reassignUnreachable()
+{
+    std::vector<LocalSubmissionPtr> unreachable;
+    for (const auto &[id, submission] : submissions_) {
+        const bool isRemote = submission->call != peer::PeerCallHandle();
+        const VmId vm = isRemote ? submission->triedVms.back() : context_.settings.vm;
+        const auto next = chooseCoordinator(submission->batch.cell, submission->triedVms);
+        if (!reachesStages(vm) && next != vm && reachesStages(next)) {
+            unreachable.push_back(submission);
+        }
+    }
+    for (const auto &submission : unreachable) {
+        if (submission->call != peer::PeerCallHandle()) {
+            links_.cancel(submission->call);
+            submission->call = {};
+            reassign(submission, submission->triedVms.back(), { ErrorKind::Unreachable, "VM reaches no endpoints" });
+            continue;
+        }
+        for (std::size_t index = 0; index < submission->tickets.size(); ++index) {
+            dispatcherFor(submission->batch.pieces[index].service, submission->batch.cell)
+                .cancel(submission->tickets[index]);
+        }
+        submission->tickets.clear();
+        cells_[submission->batch.cell].planner.removeCommitment(submission->batch.pieces.front().request);
+        reassign(submission, context_.settings.vm, { ErrorKind::Unreachable, "VM reaches no endpoints" });
+    }
 }
 
 /** Returns whether a VM is not live and did not announce that it leaves; a leaving VM still completes its pieces. */
@@ -296,12 +326,11 @@
     if (const auto reported = coordinators_.find(cell); isOtherZone && reported != coordinators_.end()) {
         const auto *peerVm = links_.find(reported->second);
         if (peerVm != nullptr && !peerVm->heartbeat.isLeaving && links_.isLive(reported->second)
-            && !wasTried(reported->second)) {
+            && !wasTried(reported->second) && reachesStages(reported->second)) {
             return reported->second;
         }
     }
-    auto members = links_.members(cell.isEmpty() ? std::nullopt : std::optional(AvailabilityZoneId(cell.text())));
-    std::erase_if(members, wasTried);
+    auto members = coordinatorCandidates(cell, tried);
     double maxCpuShare = 0;
     for (const auto &vm : members) {
         maxCpuShare = std::max(maxCpuShare, links_.cpuShare(vm));
@@ -318,6 +347,37 @@
     return members[rendezvous("cell/" + cell.text(), names, 1).front()];
 }
 
+/** Returns the VMs of a cell that reach the endpoints of stages; all that do if there are none in the cell. */
+std::vector<VmId> PieceService::coordinatorCandidates(const stages::CellId &cell, const std::vector<VmId> &tried) const
+{
+    const auto zone = cell.isEmpty() ? std::nullopt : std::optional(AvailabilityZoneId(cell.text()));
+    const auto wasTried = [&](const VmId &vm) { return std::find(tried.begin(), tried.end(), vm) != tried.end(); };
+    const auto reachesNone = [&](const VmId &vm) { return !reachesStages(vm); };
+    auto inCell = links_.members(zone);
+    std::erase_if(inCell, wasTried);
+    auto candidates = inCell;
+    std::erase_if(candidates, reachesNone);
+    if (candidates.empty() && zone) {
+        candidates = links_.members(std::nullopt);
+        std::erase_if(candidates, wasTried);
+        std::erase_if(candidates, reachesNone);
+    }
+    return candidates.empty() ? inCell : candidates;
+}
+
+/** Returns whether a VM reaches endpoints of all services that run stages, as far as it has said. */
+bool PieceService::reachesStages(const VmId &vm) const
+{
+    const auto &routes = state_.routes();
+    if (!routes) {
+        return true;
+    }
+    const auto &services = routes->state().services;
+    return std::all_of(services.begin(), services.end(), [&](const auto &service) {
+        return !service->batch || links_.reaches(vm, service->id);
+    });
+}
+
 BatchDispatcher &PieceService::dispatcherFor(const routing::ServiceId &service, const stages::CellId &cell)
 {
     Cell &cellState = cells_[cell];
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -89,6 +89,9 @@
     stages::CellId cellOf(const AvailabilityZoneId &zone) const;
     bool shouldPartitionByZone() const;
     VmId chooseCoordinator(const stages::CellId &cell, const std::vector<VmId> &tried) const;
+    std::vector<VmId> coordinatorCandidates(const stages::CellId &cell, const std::vector<VmId> &tried) const;
+    bool reachesStages(const VmId &vm) const;
+    void reassignUnreachable();
     BatchDispatcher &dispatcherFor(const routing::ServiceId &service, const stages::CellId &cell);
     bool isLost(const VmId &vm) const;
     void place(const LocalSubmissionPtr &submission);
--- /dev/null
+++ b/tools/gateway/src/relayed_attempt.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "attempt.h"
+#include "relay_messages.h"
+
+#include <memory>
+
+namespace lacewing::gateway
+{
+
+/** An attempt that another VM sends, as this one reaches no endpoint of the service. */
+class RelayedAttempt final : public Attempt, public std::enable_shared_from_this<RelayedAttempt>
+{
+public:
+    RelayedAttempt(RequestContext &shared, VmId relay, AttemptHandlers handlers);
+
+    void start(const RelayRequest &request);
+    void close(dispatch::SendOutcome outcome) override;
+    VmId relay() const override
+    {
+        return relay_;
+    }
+
+private:
+    void handleEvent(const std::string &message);
+    void handleRefusal(const RelayRefusalMessage &refusal);
+    void handleSent(const RelaySentMessage &sent);
+    void handleHead(RelayHeadMessage message);
+    void end(std::optional<Error> error, bool requestWritten);
+
+    VmId relay_;
+    routing::ServiceId service_;
+    peer::PeerCallHandle call_;
+};
+
+} // namespace lacewing::gateway
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -1,3 +1,5 @@
+#include "endpoint_attempt.h"
+#include "relayed_attempt.h"
 #include "request_handler.h"
 
 #include <algorithm>
@@ -21,6 +23,10 @@
 /** A caller may measure its time limit from a little later than the request's arrival. */
 constexpr Duration originMargin = 2s;
 constexpr int maxUrgency = 9;
+/** VMs that are asked to send one request; more would hold it for too long. */
+constexpr std::size_t maxRelays = 3;
+/** Time without a byte after which an answer is no longer awaited from an endpoint that is out of reach. */
+constexpr Duration minSilenceToRetry = 800ms;
 
 } // namespace
 
@@ -32,6 +38,10 @@
     }
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
+    if (shared_.reachability.isUnreachable(service_)) {
+        sendByRelay(results);
+        return;
+    }
     const std::size_t maxConnections = service != nullptr ? service->maxConnections : 0;
     const auto *entry = placement_->choose(triedEndpoints_, maxConnections, reservedEndpoint_, origin_, results);
     if (entry == nullptr) {
@@ -42,27 +52,36 @@
     sendTo(*entry, results);
 }
 
-void RequestHandler::sendTo(const routing::EndpointEntry &entry, const ResultBytes &results)
+void RequestHandler::beginAttempt()
 {
     phase_ = Phase::AwaitingHead;
     clearBufferedBody();
     eventSplitter_ = {};
     eventBoundary_ = {};
-    userplatform::ForwardParameters facts;
-    facts.endpoint = entry.id;
+    isAnswerReported_ = false;
+}
+
+userplatform::ForwardParameters RequestHandler::makeForwardParameters() const
+{
+    userplatform::ForwardParameters parameters;
     if (keyHolder_ != nullptr) {
-        facts.workspace = keyHolder_->workspace;
+        parameters.workspace = keyHolder_->workspace;
     }
-    facts.remainingTime = deadline_ - now();
+    parameters.remainingTime = deadline_ - now();
     if (stages_) {
-        facts.inputs = stages_->finalResults();
+        parameters.inputs = stages_->finalResults();
     }
     if (route_->kind == RouteKind::Stream) {
-        facts.urgency = std::clamp(baseUrgency + rank(), 0, maxUrgency);
+        parameters.urgency = std::clamp(baseUrgency + rank(), 0, maxUrgency);
     }
     if (!lastEventId_.empty()) {
-        facts.lastEventId = lastEventId_;
+        parameters.lastEventId = lastEventId_;
     }
+    return parameters;
+}
+
+AttemptHandlers RequestHandler::makeAttemptHandlers()
+{
     AttemptHandlers handlers;
     const auto weak = weak_from_this();
     handlers.onHead = [weak] {
@@ -80,6 +99,14 @@
             self->handleAttemptEnd(end);
         }
     };
+    return handlers;
+}
+
+void RequestHandler::sendTo(const routing::EndpointEntry &entry, const ResultBytes &results)
+{
+    beginAttempt();
+    auto parameters = makeForwardParameters();
+    parameters.endpoint = entry.id;
     const double workMs = placement_->estimatedWorkMs(entry, results);
     if (reservedEndpoint_ == entry.lifetime()) {
         reservedEndpoint_.reset();
@@ -87,9 +114,66 @@
         shared_.notices.onSend(entry.lifetime());
     }
     shared_.prefixCache.recordUse(entry.id, facts_.promptParts, now());
-    isAnswerReported_ = false;
-    attempt_ = std::make_shared<EndpointAttempt>(shared_, entry, workMs, std::move(handlers));
-    attempt_->start(userplatform::makeForwardCall(request_, facts_, entry.address, facts));
+    const auto attempt = std::make_shared<EndpointAttempt>(shared_, entry, workMs, makeAttemptHandlers());
+    attempt_ = attempt;
+    attempt->start(userplatform::makeForwardCall(request_, facts_, entry.address, parameters));
+}
+
+/** Has another VM send the request, as this one reaches no endpoint of the service. */
+void RequestHandler::sendByRelay(const ResultBytes &results)
+{
+    const auto relay = triedRelays_.size() < maxRelays ? shared_.relays.select(service_, triedRelays_) : std::nullopt;
+    if (!relay) {
+        rejectOrFail("service unreachable", retryAfterTime());
+        return;
+    }
+    beginAttempt();
+    const auto parameters = makeForwardParameters();
+    RelayRequest message;
+    message.method = request_.method;
+    message.target = request_.target;
+    message.headers = toMessage(request_.headers);
+    message.body = request_.body;
+    message.service = service_;
+    if (parameters.workspace) {
+        message.workspace = parameters.workspace->text();
+    }
+    message.remainingMs = toMilliseconds(*parameters.remainingTime);
+    message.urgency = parameters.urgency;
+    message.lastEventId = parameters.lastEventId;
+    for (const auto &handle : parameters.inputs) {
+        message.inputs.push_back(handle.text());
+    }
+    for (const auto &[zone, bytes] : results.byZone) {
+        message.resultBytes.push_back({ zone.text(), bytes });
+    }
+    message.resultBytes.push_back({ {}, results.total });
+    for (const auto &endpoint : triedEndpoints_) {
+        message.triedEndpoints.push_back(endpoint.text());
+    }
+    if (origin_) {
+        message.origin = OriginMessage { origin_->service, origin_->version };
+    }
+    message.fingerprint = fingerprint_.value();
+    shared_.decisionLog.write("request relayed",
+                              { { "request", facts_.id },
+                                { "vm", *relay },
+                                { "service", service_ },
+                                { "remaining_ms", message.remainingMs } },
+                              now());
+    const auto attempt = std::make_shared<RelayedAttempt>(shared_, *relay, makeAttemptHandlers());
+    attempt_ = attempt;
+    attempt->start(message);
+}
+
+/** Retries or resumes a request whose endpoint has become unreachable and silent, if that is allowed. */
+void RequestHandler::handleReachabilityChange()
+{
+    const bool isWaiting = phase_ == Phase::AwaitingHead || phase_ == Phase::Streaming;
+    if (isWaiting && attempt_->relay().isEmpty() && route_->isRetryable() && attempt_->silence() >= minSilenceToRetry
+        && shared_.reachability.isUnreachable(service_)) {
+        handleTransportError({ Error { ErrorKind::Silent, "endpoint unreachable" }, true, false });
+    }
 }
 
 void RequestHandler::handleHead()
@@ -268,10 +352,7 @@
 {
     const bool isWrongEndpoint = attempt_->facts().isMisdirected;
     const bool lacksInputs = attempt_->head().status == net::status::conflict;
-    // An endpoint that says when it wants requests again is not to be avoided for longer.
-    closeAttempt(attempt_->facts().quietTime          ? dispatch::SendOutcome::Cancelled
-                     : isWrongEndpoint || lacksInputs ? dispatch::SendOutcome::Answered
-                                                      : dispatch::SendOutcome::Rejected);
+    closeAttempt(attempt_->outcome(facts_.id));
     if (!isWrongEndpoint) {
         ++attemptCount_;
     }
@@ -288,7 +369,9 @@
 void RequestHandler::handleTransportError(const net::HttpEnd &end)
 {
     if (!end.requestWritten) {
-        if (end.error->kind == ErrorKind::Unreachable) {
+        if (!attempt_->relay().isEmpty()) {
+            triedRelays_.push_back(attempt_->relay());
+        } else if (end.error->kind == ErrorKind::Unreachable) {
             shared_.poisonRequests.onUnreachable(attempt_->entry());
         }
         closeAttempt(dispatch::SendOutcome::Unreachable);
@@ -329,22 +412,19 @@
 /** Has the endpoint checked for a crash, which closes connections as the end of an answer may do. */
 void RequestHandler::reportConnectionEnd(bool mayBeComplete)
 {
-    dispatch::LostRequest lost;
-    lost.request = fingerprint_;
-    lost.sharedParts = sharedParts_;
-    lost.lostAt = now();
-    if (const auto time = attempt_->timeSinceFirstByte()) {
-        lost.answerBeganAt = now() - *time;
-    }
-    lost.mayBeComplete = mayBeComplete;
-    shared_.poisonRequests.onConnectionLost(attempt_->entry(), std::move(lost), shared_.client);
+    if (attempt_->relay().isEmpty()) {
+        shared_.poisonRequests.onConnectionLost(
+            attempt_->entry(), attempt_->lostRequest(fingerprint_, sharedParts_, mayBeComplete), shared_.client);
+    } // else the VM that has sent the request checks the endpoint
 }
 
 void RequestHandler::closeAttempt(dispatch::SendOutcome outcome)
 {
     if (attempt_ && attempt_->isOpen()) {
         attempt_->close(outcome);
-        triedEndpoints_.push_back(attempt_->endpoint());
+        if (!attempt_->endpoint().isEmpty()) {
+            triedEndpoints_.push_back(attempt_->endpoint());
+        }
     }
 }
 
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -9,6 +9,7 @@
 #include "piece_service.h"
 #include "poison_prompt_guard.h"
 #include "poison_request_guard.h"
+#include "relay_peers.h"
 #include "stream_origins.h"
 
 #include <dispatch/dispatch.h>
@@ -49,6 +50,7 @@
     FleetState &state;
     EndpointNotices &notices;
     EndpointReachability &reachability;
+    RelayPeers &relays;
     PieceService &pieces;
     net::HttpClient &client;
     dispatch::LoadBalancer &loadBalancer;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -249,6 +249,9 @@
 /** Ends a request for whose results no engine has a place. Takes a place if places are few. */
 bool RequestHandler::rejectIfEnginesBlocked()
 {
+    if (shared_.reachability.isUnreachable(service_)) {
+        return false; // the VM that sends the request checks the limits
+    }
     if (shared_.notices.earliestReturn(service_)) {
         rejectOrFail("all endpoints at their limits", retryAfterTime());
         return true;
@@ -389,6 +392,7 @@
           { "first_byte_ms", timeToFirstByte ? toMilliseconds(*timeToFirstByte) : -1 },
           { "attempts", attemptCount_ },
           { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() },
+          { "relay", attempt_ ? attempt_->relay() : VmId() },
           { "software_version", attempt_ ? toText(attempt_->entry().softwareVersion) : std::string() },
           { "resumes", facts_.resumedRequest.value_or(stages::RequestId()) },
           { "framing", attempt_ && timeToFirstByte ? toText(attempt_->head().framing) : std::string_view() },
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpoint_attempt.h"
+#include "attempt.h"
 #include "request_context.h"
 #include "request_placement.h"
 #include "request_stages.h"
@@ -22,6 +22,8 @@
     void start();
     /** Called when prompt parts have become quarantined. */
     void handleQuarantineChange();
+    /** Called when this VM reaches other services than before. */
+    void handleReachabilityChange();
 
 private:
     /** Retry-after of requests that are rejected, unless an endpoint has said when it wants requests again. */
@@ -59,6 +61,10 @@
     // Attempts, in request_attempts.cpp
     void dispatch();
     void sendTo(const routing::EndpointEntry &entry, const ResultBytes &results);
+    void sendByRelay(const ResultBytes &results);
+    void beginAttempt();
+    userplatform::ForwardParameters makeForwardParameters() const;
+    AttemptHandlers makeAttemptHandlers();
     void handleHead();
     void handleBody(std::string_view bytes);
     void handleAttemptEnd(const net::HttpEnd &end);
@@ -114,8 +120,9 @@
     std::optional<Time> stagesCompletedAt_;
     int missingInputRetries_ = 0; ///< reruns of the stages because an engine lacked the results
 
-    std::shared_ptr<EndpointAttempt> attempt_; ///< the latest attempt
+    std::shared_ptr<Attempt> attempt_; ///< the latest attempt
     std::vector<EndpointId> triedEndpoints_;
+    std::vector<VmId> triedRelays_; ///< VMs that did not send the request
     std::optional<routing::EndpointLifetime> reservedEndpoint_; ///< expects the request within its rate limit
     bool isTrial_ = false; ///< sent although a prompt part is quarantined, but not retried
     bool isAnswerReported_ = false; ///< whether the answer of the latest attempt counts for its prompt parts
