--- a/tools/gateway/tests/cut_off_vm_test.cpp
+++ b/tools/gateway/tests/cut_off_vm_test.cpp
@@ -1,6 +1,7 @@
 #include "requests.h"
 
 #include <algorithm>
+#include <csignal>
 #include <set>
 
 #include <criterion/criterion.h>
@@ -44,6 +45,65 @@
         return "id-" + std::to_string(++requests);
     }
 
+    Endpoint &endpoint(const std::string &id)
+    {
+        const auto found = std::find_if(harness.endpoints().begin(), harness.endpoints().end(), [&](const auto &item) {
+            return item->identity().id == id;
+        });
+        cr_assert_neq(found, harness.endpoints().end(), "no endpoint %s", id.c_str());
+        return **found;
+    }
+
+    void setBehaviours(const std::string &service, Behaviour behaviour)
+    {
+        for (auto &item : harness.endpoints()) {
+            if (item->identity().service == service) {
+                item->setBehaviour(behaviour);
+            }
+        }
+    }
+
+    /** Cuts VMs off, and waits until they have others send requests for them. */
+    void cutOffAndWait(const std::vector<std::size_t> &vms, const std::string &target = "/safe/x")
+    {
+        for (const auto vm : vms) {
+            harness.cutOff(vm, PathCut::Refuse);
+        }
+        for (const auto vm : vms) {
+            harness.waitFor(
+                [&] {
+                    send(vm, target);
+                    return harness.metric(vm, "lacewing_unreachable_services") > 0;
+                },
+                "a VM that knows that it is cut off");
+        }
+    }
+
+    /** Returns the requests that endpoints of a service have received. */
+    std::vector<const ReceivedRequest *> received(const std::string &service)
+    {
+        std::vector<const ReceivedRequest *> requests;
+        for (const auto &item : harness.endpoints()) {
+            if (item->identity().service == service) {
+                for (const auto &request : item->receivedRequests()) {
+                    requests.push_back(&request);
+                }
+            }
+        }
+        return requests;
+    }
+
+    std::size_t executionsOf(const std::string &id)
+    {
+        std::size_t count = 0;
+        for (const auto &item : harness.endpoints()) {
+            for (const auto &request : item->receivedRequests()) {
+                count += request.wasExecuted && request.requestId() == id ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     std::shared_ptr<std::optional<Response>> sendAsync(std::size_t vm, const std::string &target, const std::string &id)
     {
         const bool isStaged = target == "/staged/x" || target == "/again/x";
@@ -191,3 +251,221 @@
     f.harness.waitFor([&] { return response->has_value(); }, "a response");
     cr_assert_eq((*response)->status, net::status::ok, "status %d", (*response)->status);
 }
+
+/** A request passes one other VM at most, and its answer is what the endpoint sent. */
+Test(cutOffVm, answersArePassedOnUnchanged)
+{
+    Fleet f(3);
+    f.cutOffAndWait({ 0, 1 });
+    const auto before = f.received("plain").size();
+    for (const std::size_t vm : { 0, 1 }) {
+        const auto id = f.nextId();
+        const auto response = f.harness.sendAndWait(vm, "POST", "/unsafe/a?b=c", headers(id), "body");
+        cr_assert_eq(response.status, net::status::ok);
+        cr_assert_str_eq(response.body.c_str(), "answer to POST /unsafe/a?b=c body");
+        cr_assert(findReceipt(response.headers).has_value());
+        cr_assert_eq(f.executionsOf(id), 1U);
+    }
+    const auto requests = f.received("plain");
+    cr_assert_eq(requests.size(), before + 2);
+    for (std::size_t index = before; index < requests.size(); ++index) {
+        const auto &request = *requests[index];
+        cr_assert_eq(f.harness.sender(request), 2U);
+        cr_assert_str_eq(request.workspace().c_str(), workspace.c_str());
+        cr_assert_not(request.hasApiKey());
+        cr_assert(request.remainingMs() > 0 && request.remainingMs() <= 15'000, "%d ms", request.remainingMs());
+    }
+}
+
+/** Only some services are out of reach. */
+Test(cutOffVm, servicesInReachAreUsedDirectly)
+{
+    Fleet f(2);
+    f.harness.cutOff(0, PathCut::Refuse, { "engine1", "engine2", "engine3" });
+    f.harness.waitFor(
+        [&] {
+            f.send(0, "/stream/x");
+            return f.harness.metric(0, "lacewing_unreachable_services") > 0;
+        },
+        "a VM that knows that it is cut off");
+    cr_assert_eq(f.harness.metric(0, "lacewing_unreachable_services"), 1);
+    cr_assert_eq(f.send(0, "/stream/x").status, net::status::ok);
+    cr_assert_eq(f.harness.sender(*f.received("engine").back()), 1U);
+    cr_assert_eq(f.send(0, "/safe/x").status, net::status::ok);
+    cr_assert_eq(f.harness.sender(*f.received("plain").back()), 0U);
+}
+
+/** The end of the cut is noticed without requests that try the path. */
+Test(cutOffVm, requestsAreSentDirectlyAfterTheCut)
+{
+    Fleet f(2);
+    f.cutOffAndWait({ 0 });
+    f.harness.cutOff(0, PathCut::None);
+    const Time healedAt = f.harness.loop().clock().now();
+    f.harness.waitFor([&] { return f.harness.metric(0, "lacewing_unreachable_services") == 0; }, "the end of the cut");
+    const auto ms = toMilliseconds(f.harness.loop().clock().now() - healedAt);
+    cr_log_info("noticed after %lld ms", static_cast<long long>(ms));
+    const auto before = f.received("plain").size();
+    cr_assert_eq(f.send(0, "/safe/x").status, net::status::ok);
+    cr_assert_eq(f.received("plain").size(), before + 1);
+    for (const auto *request : f.received("plain")) {
+        if (request->requestId() == "id-" + std::to_string(f.requests)) {
+            cr_assert_eq(f.harness.sender(*request), 0U);
+        }
+    }
+}
+
+/** No VM reaches the service: callers are told at once when to come back. */
+Test(cutOffVm, requestsThatNoVmCanSendAreRefusedAtOnce)
+{
+    Fleet f(3);
+    f.cutOffAndWait({ 0, 1, 2 });
+    for (const char *target : { "/safe/x", "/unsafe/x" }) {
+        const auto id = f.nextId();
+        const auto response = f.harness.sendAndWait(0, "POST", target, headers(id), "body");
+        cr_assert_eq(response.status, net::status::unavailable, "%s: %d", target, response.status);
+        cr_assert(findRetryAfter(response.headers).has_value(), "%s", target);
+        cr_assert_eq(f.executionsOf(id), 0U, "%s", target);
+    }
+    // The first refusal of the VM that is asked tells that it doesn't reach the service either.
+    cr_assert_eq(f.harness.metric(0, "lacewing_unreachable_services") > 0, true);
+}
+
+/** A caller that leaves ends the work at the endpoint, also by way of another VM. */
+Test(cutOffVm, workEndsWhenTheCallerLeaves)
+{
+    Fleet f(2);
+    f.cutOffAndWait({ 0 });
+    f.setBehaviours("plain", Behaviour::Hold);
+    const auto arrivals = f.received("plain").size();
+    {
+        net::HttpClient caller(f.harness.loop(), {});
+        net::HttpCall call;
+        call.address = f.harness.callersAddress(0);
+        call.method = "POST";
+        call.target = "/safe/x";
+        call.headers = headers(f.nextId());
+        caller.start(std::move(call), {}, {});
+        f.harness.waitFor([&] { return f.received("plain").size() > arrivals; }, "the request at an endpoint");
+    }
+    f.harness.waitFor(
+        [&] {
+            return std::any_of(f.harness.endpoints().begin(), f.harness.endpoints().end(), [](const auto &item) {
+                return item->abandonedCount() > 0;
+            });
+        },
+        "the end of the work");
+}
+
+namespace
+{
+
+struct RelayEndCase {
+    char name[50];
+    int signal; ///< to the VM that sends the request, while the endpoint works on it
+    char target[16];
+    int status; ///< that the caller gets
+    std::size_t executions;
+};
+
+RelayEndCase relayEndCases[] = {
+    { "killed, safe", SIGKILL, "/safe/x", net::status::ok, 2 },
+    { "killed, unsafe", SIGKILL, "/unsafe/x", net::status::badGateway, 1 },
+    { "stopped, safe", SIGTERM, "/safe/x", net::status::ok, 1 },
+    { "stopped, unsafe", SIGTERM, "/unsafe/x", net::status::ok, 1 },
+    { "frozen, safe", SIGSTOP, "/safe/x", net::status::ok, 2 },
+    { "frozen, unsafe", SIGSTOP, "/unsafe/x", net::status::badGateway, 1 },
+};
+
+} // namespace
+
+/** The VM that sends a request ends, freezes or stops as planned while an endpoint works on it. */
+ParameterizedTestParameters(cutOffVm, requestWhoseRelayEnds)
+{
+    return cr_make_param_array(RelayEndCase, relayEndCases, std::size(relayEndCases));
+}
+
+ParameterizedTest(RelayEndCase *test, cutOffVm, requestWhoseRelayEnds)
+{
+    Fleet f(3);
+    f.cutOffAndWait({ 0 });
+    f.setBehaviours("plain", Behaviour::Hold);
+    const auto arrivals = f.received("plain").size();
+    const auto id = f.nextId();
+    const auto response = f.sendAsync(0, test->target, id);
+    f.harness.waitFor([&] { return f.executionsOf(id) > 0; }, "the request at an endpoint");
+    cr_assert_eq(f.received("plain").size(), arrivals + 1);
+    std::size_t relay = 0;
+    for (const auto *request : f.received("plain")) {
+        if (request->requestId() == id) {
+            relay = f.harness.sender(*request);
+        }
+    }
+    cr_assert_neq(relay, 0U);
+    f.harness.signal(relay, test->signal);
+    if (test->signal == SIGTERM) {
+        f.pause(300ms);
+    }
+    const bool isRetried = test->executions > 1;
+    if (isRetried) {
+        f.harness.waitFor([&] { return f.executionsOf(id) > 1; }, "a retry");
+    }
+    if (test->status == net::status::ok) {
+        for (auto &endpoint : f.harness.endpoints()) {
+            endpoint->releaseHeldResponses();
+        }
+    }
+    f.harness.waitFor([&] { return response->has_value(); }, "a response");
+    cr_assert_eq((*response)->status, test->status, "%s: %d", test->name, (*response)->status);
+    cr_assert_eq(f.executionsOf(id), test->executions, "%s: %zu executions", test->name, f.executionsOf(id));
+    f.harness.signal(relay, SIGCONT);
+}
+
+/** What an endpoint says to the VM that sends counts there, and what it says to all VMs counts everywhere. */
+Test(cutOffVm, noticesOfEndpointsHold)
+{
+    Fleet f(2);
+    f.cutOffAndWait({ 0 });
+    f.endpoint("plain1").rejectWithRetryAfter("20");
+    f.harness.waitFor(
+        [&] {
+            f.share({ 0 }, "/safe/x", 10ms, 8); // so many at a time that each endpoint gets some
+            return f.harness.metric(1, "lacewing_quiet_periods_total") > 0;
+        },
+        "a quiet period");
+    const auto quiet = f.endpoint("plain1").receivedRequests().size();
+    f.endpoint("plain2").announceLeaving();
+    f.harness.waitFor(
+        [&] {
+            f.share({ 0 }, "/safe/x", 10ms, 8);
+            return f.harness.metric(0, "lacewing_endpoints_leaving_total") > 0;
+        },
+        "the notice at the VM of the caller");
+    const auto leaving = f.endpoint("plain2").receivedRequests().size();
+    for (int count = 0; count < 20; ++count) {
+        cr_assert_eq(f.send(0, "/safe/x").status, net::status::ok);
+    }
+    cr_assert_eq(f.endpoint("plain1").receivedRequests().size(), quiet);
+    cr_assert_eq(f.endpoint("plain2").receivedRequests().size(), leaving);
+}
+
+/** A broken-off stream is cut for its caller, or goes on, as if this VM had sent it. */
+Test(cutOffVm, brokenOffStreamsAreResumedOrCut)
+{
+    Fleet f(2);
+    f.cutOffAndWait({ 0 }, "/stream/x");
+    f.setBehaviours("engine", Behaviour::TruncateStream);
+    cr_assert_not(f.send(0, "/stream/x").isComplete);
+    f.endpoint("engine2").setBehaviour(Behaviour::Stream);
+    f.endpoint("engine3").setBehaviour(Behaviour::Stream);
+    for (int count = 0; count < 12; ++count) {
+        const auto response = f.send(0, "/resumable/x");
+        cr_assert(response.isComplete);
+        for (int event = 1; event <= Endpoint::streamEventCount; ++event) {
+            const auto text = net::sseEvent(std::to_string(event), "event " + std::to_string(event));
+            const auto at = response.body.find(text);
+            cr_assert_neq(at, std::string::npos, "event %d is missing", event);
+            cr_assert_eq(response.body.find(text, at + 1), std::string::npos, "event %d comes twice", event);
+        }
+    }
+}
