Net, gateway: an answer that nobody awaits any more is still read, and what the endpoint says in it holds

Cause, as a class: information that belongs to a longer-lived object was read only for as long as the call that carried it was wanted. A call that was cancelled, as its caller had left, or whose time limit had passed closed its connection with the answer unread.

Now a call whose request was written closes its connection for sending at once, as before to the endpoint, and for receiving 50 ms later. The head of an answer that comes until then goes to HttpHandlers::onLateHead: leaving, quiet times and rate limits are kept, and 'answer not awaited' is logged. The same elsewhere: calls for pieces that are aborted or time out. A request that is not written in full is dropped at once, as it must not run.

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -369,6 +369,11 @@
     std::function<void(const HttpHead &)> onHead;
     std::function<void(std::string_view)> onBody; ///< pieces of the body, chunked coding removed
     std::function<void(const HttpEnd &)> onDone;
+    /**
+     * The head of an answer that is not awaited any more: it had arrived unread when the call was cancelled or a time
+     * limit passed, or arrives a moment later. Called once at most, after onDone if the call was not cancelled.
+     */
+    std::function<void(const HttpHead &)> onLateHead;
 };
 
 /** Names a call of one client; 0 is none. */
@@ -473,7 +478,10 @@
 
     /** Starts a call. Handlers that are empty are skipped. */
     HttpCallHandle start(HttpCall call, HttpLimits limits, HttpHandlers handlers);
-    /** Ends a call and closes its connection; none of its handlers is called any more. No effect once done. */
+    /**
+     * Ends a call and closes its connection; none of its handlers is called any more but onLateHead. If that is set,
+     * the connection is closed for sending at once and for receiving a moment later. No effect once done.
+     */
     void cancel(HttpCallHandle handle);
 
     const HttpClientCounters &counters() const noexcept;
@@ -492,7 +500,8 @@
 HttpCallHandle fetch(HttpClient &client,
                      HttpCall call,
                      HttpLimits limits,
-                     std::function<void(const HttpEnd &, HttpResponse)> callback);
+                     std::function<void(const HttpEnd &, HttpResponse)> callback,
+                     std::function<void(const HttpHead &)> onLateHead = nullptr);
 
 // ---------------------------------------------------------------------------------------------------------------------
 // Server-sent events
--- a/libs/net/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -2,6 +2,8 @@
 #include "client_pool.h"
 #include "http_text.h"
 
+#include <set>
+
 namespace lacewing::net
 {
 
@@ -19,9 +21,14 @@
     {
         const HttpCallHandle handle(++lastHandle_);
         ++pool_.counters().calls;
-        const auto onEnd = [this](HttpCallHandle ended) { return calls_.extract(ended).mapped(); };
-        auto clientCall =
-            std::make_shared<ClientCall>(loop_, pool_, handle, std::move(call), limits, std::move(handlers), onEnd);
+        const auto onEnd = [this](HttpCallHandle ended) {
+            const auto call = calls_.extract(ended).mapped();
+            lingering_.insert(call);
+            return call;
+        };
+        const auto onClosed = [this](const std::shared_ptr<ClientCall> &closed) { lingering_.erase(closed); };
+        auto clientCall = std::make_shared<ClientCall>(
+            loop_, pool_, handle, std::move(call), limits, std::move(handlers), onEnd, onClosed);
         calls_.emplace(handle, clientCall);
         clientCall->start();
         return handle;
@@ -33,8 +40,9 @@
         if (found != calls_.end()) {
             const auto call = found->second;
             calls_.erase(found);
+            lingering_.insert(call);
             ++pool_.counters().cancelled;
-            call->giveUp();
+            call->cancel();
         }
     }
 
@@ -43,6 +51,9 @@
         for (const auto &[handle, call] : std::exchange(calls_, {})) {
             call->giveUp();
         }
+        for (const auto &call : std::exchange(lingering_, {})) {
+            call->giveUp();
+        }
         pool_.closeIdle();
     }
 
@@ -55,6 +66,7 @@
     EventLoop &loop_;
     ClientPool pool_;
     std::unordered_map<HttpCallHandle, std::shared_ptr<ClientCall>> calls_;
+    std::set<std::shared_ptr<ClientCall>> lingering_; ///< ended; some still wait for a late head
     std::uint64_t lastHandle_ = 0;
 };
 
@@ -86,7 +98,8 @@
 HttpCallHandle fetch(HttpClient &client,
                      HttpCall call,
                      HttpLimits limits,
-                     std::function<void(const HttpEnd &, HttpResponse)> callback)
+                     std::function<void(const HttpEnd &, HttpResponse)> callback,
+                     std::function<void(const HttpHead &)> onLateHead)
 {
     auto response = std::make_shared<HttpResponse>();
     HttpHandlers handlers;
@@ -95,6 +108,7 @@
     handlers.onDone = [response, callback = std::move(callback)](const HttpEnd &end) {
         callback(end, std::move(*response));
     };
+    handlers.onLateHead = std::move(onLateHead);
     return client.start(std::move(call), limits, std::move(handlers));
 }
 
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -15,6 +15,9 @@
     return limit > Duration::zero() ? since + limit : Time::max();
 }
 
+/** Time for which the head of an answer may arrive that is not awaited any more: several round trips of a region. */
+constexpr Duration lateHeadTime = std::chrono::milliseconds(50);
+
 } // namespace
 
 ClientCall::ClientCall(EventLoop &loop,
@@ -23,7 +26,8 @@
                        HttpCall call,
                        HttpLimits limits,
                        HttpHandlers handlers,
-                       OnEnd onEnd)
+                       OnEnd onEnd,
+                       OnClosed onClosed)
     : loop_(loop)
     , pool_(pool)
     , handle_(handle)
@@ -31,6 +35,7 @@
     , limits_(limits)
     , handlers_(std::move(handlers))
     , onEnd_(std::move(onEnd))
+    , onClosed_(std::move(onClosed))
 {
 }
 
@@ -99,6 +104,9 @@
 
 void ClientCall::progressed()
 {
+    if (phase_ == Phase::Lingering) {
+        return;
+    }
     phase_ = Phase::Receiving;
     progressAt_ = loop_.clock().now();
     armTimer();
@@ -107,6 +115,12 @@
 void ClientCall::received(const HttpHead &head)
 {
     const auto self = shared_from_this(); // the handler may cancel the call
+    if (phase_ == Phase::Lingering) {
+        const auto onLateHead = std::move(handlers_.onLateHead);
+        finishLingering();
+        onLateHead(head);
+        return;
+    }
     headReceived_ = true;
     if (handlers_.onHead) {
         handlers_.onHead(head);
@@ -123,6 +137,10 @@
 
 void ClientCall::completed(bool reusable)
 {
+    if (phase_ == Phase::Lingering) {
+        finishLingering();
+        return;
+    }
     written_ = true;
     const auto connection = std::exchange(connection_, nullptr);
     if (reusable) {
@@ -135,6 +153,10 @@
 
 void ClientCall::failed(Error error)
 {
+    if (phase_ == Phase::Lingering) {
+        finishLingering();
+        return;
+    }
     const bool resend = call_.resendWhenLost || (connection_ && !connection_->mayHaveWritten());
     if (mayRetry() && resend && error.kind == ErrorKind::ConnectionLost) {
         retryFresh();
@@ -164,6 +186,38 @@
     pool_.abort(std::exchange(connection_, nullptr));
 }
 
+void ClientCall::cancel()
+{
+    const auto self = shared_from_this();
+    closeConnection();
+}
+
+/** Closes the connection, unless the head of its answer may still be on its way and somebody wants to know it. */
+void ClientCall::closeConnection()
+{
+    const bool mayBeAnswered = phase_ == Phase::Waiting && connection_ && connection_->isWritten();
+    if (!mayBeAnswered || !handlers_.onLateHead) {
+        giveUp();
+        onClosed_(shared_from_this());
+        return;
+    }
+    phase_ = Phase::Lingering;
+    connection_->shutDownSending();
+    loop_.timers().cancel(timer_);
+    timer_ = loop_.timers().once(loop_.clock().now() + lateHeadTime, [weak = weak_from_this()](Time) {
+        if (const auto self = weak.lock()) {
+            self->finishLingering();
+        }
+    });
+}
+
+void ClientCall::finishLingering()
+{
+    const auto self = shared_from_this();
+    giveUp();
+    onClosed_(self);
+}
+
 void ClientCall::end(std::optional<Error> error)
 {
     const auto self = onEnd_(handle_);
@@ -175,7 +229,12 @@
     if (connection_) {
         result.requestWritten = written_ || connection_->mayHaveWritten();
     }
-    giveUp();
+    if (silent) {
+        closeConnection();
+    } else {
+        giveUp();
+        onClosed_(self);
+    }
     count(result.error);
     if (handlers_.onDone) {
         handlers_.onDone(result);
@@ -185,7 +244,7 @@
 void ClientCall::endLater(Error error)
 {
     loop_.post([self = shared_from_this(), error = std::move(error)] {
-        if (self->phase_ != Phase::Ended) {
+        if (self->phase_ != Phase::Ended && self->phase_ != Phase::Lingering) {
             self->end(error);
         }
     });
@@ -248,7 +307,7 @@
 void ClientCall::timerFired(Time now)
 {
     timer_ = TimerHandle();
-    if (phase_ == Phase::Ended) {
+    if (phase_ == Phase::Ended || phase_ == Phase::Lingering) {
         return;
     }
     if (now < deadline()) {
--- a/libs/net/src/client_call.h
+++ b/libs/net/src/client_call.h
@@ -11,6 +11,8 @@
 public:
     /** Takes the call out of the client's list and returns the list's reference to it. */
     using OnEnd = std::function<std::shared_ptr<ClientCall>(HttpCallHandle)>;
+    /** Called when a call that has ended, or was cancelled, has no connection any more. */
+    using OnClosed = std::function<void(const std::shared_ptr<ClientCall> &)>;
 
     ClientCall(EventLoop &loop,
                ClientPool &pool,
@@ -18,14 +20,17 @@
                HttpCall call,
                HttpLimits limits,
                HttpHandlers handlers,
-               OnEnd onEnd);
+               OnEnd onEnd,
+               OnClosed onClosed);
 
     void start();
-    /** Ends the call without a callback. */
+    /** Ends the call without a callback but that for a late head. */
+    void cancel();
+    /** Ends the call without a callback, and closes its connection at once. */
     void giveUp();
 
 private:
-    enum class Phase : std::uint8_t { Connecting, Waiting, Receiving, Ended };
+    enum class Phase : std::uint8_t { Connecting, Waiting, Receiving, Lingering, Ended };
 
     void connected(const std::optional<Error> &error) override;
     void progressed() override;
@@ -40,6 +45,8 @@
     void retryFresh();
     void end(std::optional<Error> error);
     void endLater(Error error);
+    void closeConnection();
+    void finishLingering();
     void count(const std::optional<Error> &error);
     Time deadline() const noexcept;
     void armTimer();
@@ -52,6 +59,7 @@
     HttpLimits limits_;
     HttpHandlers handlers_;
     OnEnd onEnd_;
+    OnClosed onClosed_;
     ClientPool::ConnectionPtr connection_;
     Phase phase_ = Phase::Connecting;
     Time startedAt_;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -163,6 +163,12 @@
     read();
 }
 
+void ClientConnection::shutDownSending()
+{
+    ErrorCode ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void ClientConnection::close()
 {
     listener_ = nullptr;
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -79,6 +79,13 @@
     {
         return open_;
     }
+    /** Closes the connection for sending; what the server sends is still read. */
+    void shutDownSending();
+    /** Returns whether the last request was given to the network in full. */
+    bool isWritten() const noexcept
+    {
+        return sent_ && !writing_ && !nothingWritten_;
+    }
     /** False only when it is certain that no byte of the last request was given to the network. */
     bool mayHaveWritten() const noexcept;
     Time idleSince() const noexcept
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -186,15 +186,20 @@
     const Duration timeout = scheduler_.callTimeout(call);
     auto request = userplatform::makePiecesCall(*entry, call.pieces, now());
     const std::uint64_t number = ++lastCallNumber_;
-    const auto handle = net::fetch(shared_.client,
-                                   std::move(request),
-                                   { connectTimeout, timeout, timeout, connectTimeout + 2 * timeout },
-                                   [this, number](const net::HttpEnd &end, const net::HttpResponse &response) {
-                                       const auto inFlight = inFlightCalls_.extract(number);
-                                       if (!inFlight.empty()) {
-                                           handleCallEnd(inFlight.mapped(), end, response);
-                                       }
-                                   });
+    const auto handle = net::fetch(
+        shared_.client,
+        std::move(request),
+        { connectTimeout, timeout, timeout, connectTimeout + 2 * timeout },
+        [this, number](const net::HttpEnd &end, const net::HttpResponse &response) {
+            const auto inFlight = inFlightCalls_.extract(number);
+            if (!inFlight.empty()) {
+                handleCallEnd(inFlight.mapped(), end, response);
+            }
+        },
+        [this, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
+            // The call was aborted or timed out, but what the endpoint says still holds.
+            shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
+        });
     inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle, now() });
 }
 
--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -46,6 +46,15 @@
             self->handleEnd(end);
         }
     };
+    handlers.onLateHead = [&shared = shared_, endpoint = endpoint_, sentAt = startedAt_](const net::HttpHead &head) {
+        const auto response = userplatform::parseResponseMetadata(head);
+        shared.decisionLog.write("answer not awaited",
+                                 { { "endpoint", endpoint.id },
+                                   { "status", head.status },
+                                   { "quiet_ms", response.quietTime ? toMilliseconds(*response.quietTime) : -1 } },
+                                 shared.context.now());
+        shared.notices.handleResponse(endpoint, response, sentAt);
+    };
     call_ = shared_.client.start(std::move(call), { connectTimeout, 0s, 0s, 0s }, std::move(handlers));
 }
 
