Gateway: endpoints that can't bear to turn requests away get no more than they have room for

Nothing read that; each VM sent what it had, and the endpoints fell over.

Cause, as a class: a limit of the whole fleet that each VM's own view can't keep, as with rate limits.

- The slots of such an endpoint are divided among as many VMs as it has slots, by rendezvous hashing over the live VMs; so the VMs together send no more than there is room for.
A VM without a slot at any endpoint of a service has another one send its requests.
- What is turned away all the same, as views may differ, is told to all VMs.
They stop for a second from half of the endpoint's limit on; the VM whose request it was stops at once.
- Callers for whose requests there is no room are refused at once.
Brittleness lasts until a later answer no longer says so.
Weighed: a budget of rejections alone (73 VMs, 6 slots: more requests may be under way at once than an endpoint can turn away).

--- a/tools/gateway/src/endpoint_notices.cpp
+++ b/tools/gateway/src/endpoint_notices.cpp
@@ -24,6 +24,8 @@
     , quietCounter_(context.metrics.counter({ "quiet_periods", "Answers with a time in which to send nothing" }))
     , rateLimitCounter_(context.metrics.counter(
           { "rate_limits", "Rate limits of endpoints that were named, changed or ended, as known to this VM" }))
+    , brittleRejectionCounter_(context.metrics.counter(
+          { "brittle_rejections", "Requests of this VM that brittle endpoints turned away for want of room" }))
 {
 }
 
@@ -44,6 +46,7 @@
             }
         }
     }
+    recordBrittleness(lifetime, response, sentAt);
     if (response.hasUnusableRateLimit) {
         decisionLog_.write("rate limit ignored",
                            { { "endpoint", lifetime.endpoint }, { "reason", "not one number of at least 0" } },
@@ -69,6 +72,73 @@
     }
 }
 
+void EndpointNotices::recordBrittleness(const routing::EndpointLifetime &endpoint,
+                                        const userplatform::ResponseMetadata &response,
+                                        Time sentAt)
+{
+    const Time now = context_.now();
+    if (response.hasUnusableMaxRejections) {
+        decisionLog_.write(
+            "brittleness ignored", { { "endpoint", endpoint.endpoint }, { "reason", "not one whole number" } }, now);
+    } else if (brittleEndpoints_.recordAnswer(endpoint, response.maxRejections, sentAt, now)) {
+        context_.logger.state("endpoint brittle",
+                              { { "endpoint", endpoint.endpoint },
+                                { "max_rejections", *response.maxRejections },
+                                { "source", "endpoint" } });
+        reportBrittle(endpoint, false);
+    }
+    if (response.lacksRoom && brittleEndpoints_.recordRejection(endpoint, true, now)) {
+        brittleRejectionCounter_.add();
+        reportBrittle(endpoint, true);
+    }
+}
+
+void EndpointNotices::reportBrittle(const routing::EndpointLifetime &endpoint, bool isRejection)
+{
+    links_.broadcast(encodeMessage(MessageKind::BrittleEndpoint,
+                                   BrittleEndpointMessage { endpoint.endpoint.text(),
+                                                            endpoint.incarnation.value(),
+                                                            brittleEndpoints_.maxRejections(endpoint).value_or(0),
+                                                            isRejection }));
+}
+
+void EndpointNotices::handleBrittle(const BrittleEndpointMessage &message)
+{
+    const routing::EndpointLifetime endpoint { EndpointId(message.endpoint), Incarnation(message.incarnation) };
+    if (state_.endpoints().hasEnded(endpoint)) {
+        return;
+    }
+    if (!brittleEndpoints_.isBrittle(endpoint)) {
+        context_.logger.state(
+            "endpoint brittle",
+            { { "endpoint", endpoint.endpoint }, { "max_rejections", message.maxRejections }, { "source", "vm" } });
+    }
+    brittleEndpoints_.recordBrittle(endpoint, message.maxRejections, context_.now());
+    if (message.isRejection) {
+        brittleEndpoints_.recordRejection(endpoint, false, context_.now());
+    }
+}
+
+std::optional<std::size_t> EndpointNotices::maxInFlight(const routing::EndpointEntry &endpoint) const
+{
+    if (!brittleEndpoints_.isBrittle(endpoint.lifetime())) {
+        return std::nullopt;
+    }
+    return overload::shareOfSlots(endpoint, links_.members(std::nullopt), context_.settings.vm);
+}
+
+bool EndpointNotices::sharesNoSlots(const VmId &vm, const routing::ServiceId &service) const
+{
+    if (brittleEndpoints_.isEmpty()) {
+        return false;
+    }
+    const auto &available = state_.endpoints().availableEndpoints(service);
+    const auto vms = links_.members(std::nullopt);
+    return !available.empty() && std::all_of(available.begin(), available.end(), [&](const auto *endpoint) {
+        return brittleEndpoints_.isBrittle(endpoint->lifetime()) && overload::shareOfSlots(*endpoint, vms, vm) == 0;
+    });
+}
+
 void EndpointNotices::handleLeaving(const EndpointLifetimeMessage &message)
 {
     state_.markLeaving({ EndpointId(message.endpoint), Incarnation(message.incarnation) }, "vm");
@@ -81,9 +151,14 @@
 
 std::optional<Time> EndpointNotices::blockedUntil(const routing::EndpointLifetime &endpoint) const
 {
-    const auto quiet = quietUntil(endpoint);
-    const auto limited = rateLimits_.blockedUntil(endpoint, context_.now());
-    return quiet && limited ? std::max(quiet, limited) : (quiet ? quiet : limited);
+    const Time now = context_.now();
+    std::optional<Time> latest;
+    for (const auto &until : { quietUntil(endpoint),
+                               rateLimits_.blockedUntil(endpoint, now),
+                               brittleEndpoints_.blockedUntil(endpoint, now) }) {
+        latest = std::max(latest, until); // an empty one is less than any time
+    }
+    return latest;
 }
 
 std::optional<Time> EndpointNotices::earliestReturn(const routing::ServiceId &service) const
@@ -202,6 +277,7 @@
 {
     quietPeriods_.expire(now);
     rateLimits_.expire(state_.endpoints(), now);
+    brittleEndpoints_.expire(state_.endpoints());
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/endpoint_notices.h
+++ b/tools/gateway/src/endpoint_notices.h
@@ -6,6 +6,7 @@
 #include "fleet_state.h"
 
 #include <dispatch/dispatch.h>
+#include <overload/overload.h>
 
 #include <optional>
 #include <set>
@@ -34,6 +35,17 @@
     void onSend(const routing::EndpointLifetime &endpoint);
     /** Takes what an endpoint has told another VM. */
     void handleLeaving(const EndpointLifetimeMessage &message);
+    /** Takes what another VM knows about a brittle endpoint. */
+    void handleBrittle(const BrittleEndpointMessage &message);
+    /** Returns the number of requests that this VM may have in flight at an endpoint; empty: any. */
+    std::optional<std::size_t> maxInFlight(const routing::EndpointEntry &endpoint) const;
+    /**
+     * Returns whether only other VMs may send requests to a service now, as its endpoints are brittle and have fewer
+     * slots than there are VMs.
+     *
+     * @param vm this VM, or another one
+     */
+    bool sharesNoSlots(const VmId &vm, const routing::ServiceId &service) const;
     /** Takes the limits and sends that another VM reports. */
     void handleRateLimits(const RateLimitsMessage &message);
     /** Returns this VM's report, for its heartbeats. Updates for how many VMs the limits are. */
@@ -53,6 +65,10 @@
     void expire(Time now);
 
 private:
+    void recordBrittleness(const routing::EndpointLifetime &endpoint,
+                           const userplatform::ResponseMetadata &response,
+                           Time sentAt);
+    void reportBrittle(const routing::EndpointLifetime &endpoint, bool isRejection);
     void reportRateLimit(const routing::EndpointLifetime &endpoint);
     void sendReports();
     RateLimitMessage toMessage(const dispatch::RateLimitUse &use) const;
@@ -62,6 +78,7 @@
     FleetState &state_;
     dispatch::QuietPeriods quietPeriods_;
     dispatch::SharedRateLimits rateLimits_;
+    overload::BrittleEndpoints brittleEndpoints_;
     dispatch::FleetSizeEstimate fleetSize_;
     std::optional<Time> reportedAt_; ///< when the rate limits were last reported to all VMs
     std::set<routing::EndpointLifetime> dueReports_; ///< endpoints on which a report is scheduled
@@ -70,6 +87,7 @@
     telemetry::Counter leavingCounter_;
     telemetry::Counter quietCounter_;
     telemetry::Counter rateLimitCounter_;
+    telemetry::Counter brittleRejectionCounter_;
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -336,6 +336,9 @@
     case MessageKind::EndpointLeaving:
         deliver(handlers_.onEndpointLeaving);
         break;
+    case MessageKind::BrittleEndpoint:
+        deliver(handlers_.onBrittleEndpoint);
+        break;
     case MessageKind::StateAnnouncement:
         deliver(std::function<void(const StateAnnouncement &)>(
             [&](const StateAnnouncement &announcement) { handlers_.onStateAnnounced(from.vm, announcement); }));
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -31,6 +31,7 @@
     std::function<void(const SuspectPartsMessage &)> onSuspectParts;
     std::function<void(const RateLimitsMessage &)> onRateLimits;
     std::function<void(const EndpointLifetimeMessage &)> onEndpointLeaving;
+    std::function<void(const BrittleEndpointMessage &)> onBrittleEndpoint;
     std::function<void(const VmId &from, const RecordsPush &)> onRecordsPushed;
     std::function<void(const VmId &from, const StateAnnouncement &)> onStateAnnounced;
     std::function<void(const StreamOriginsMessage &)> onStreamOrigins;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -61,7 +61,7 @@
     , notices_(context, links_, state_)
     , client_(context.loop, endpointOptions(context))
     , reachability_(context, state_, notices_, client_, random_.next(), [this] { handleReachabilityChange(); })
-    , relayPeers_(context, links_, random_.next())
+    , relayPeers_(context, links_, notices_, random_.next())
     , poisonPrompts_(context, links_, state_, random_.next(), [this] { handlePartsQuarantined(); })
     , poisonRequests_(context, links_, state_, notices_, reachability_, poisonPrompts_)
     , streamOrigins_(context, links_, state_)
@@ -245,6 +245,7 @@
     handlers.onSuspectParts = [this](const SuspectPartsMessage &message) { poisonPrompts_.handleParts(message.parts); };
     handlers.onRateLimits = [this](const RateLimitsMessage &message) { notices_.handleRateLimits(message); };
     handlers.onEndpointLeaving = [this](const EndpointLifetimeMessage &message) { notices_.handleLeaving(message); };
+    handlers.onBrittleEndpoint = [this](const BrittleEndpointMessage &message) { notices_.handleBrittle(message); };
     handlers.onSuspectsRequested = [this](peer::PeerCallWriter writer) {
         poisonRequests_.serveSuspects(std::move(writer));
     };
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -220,6 +220,16 @@
     LACEWING_MEMBERS(endpoint, incarnation)
 };
 
+/** An endpoint that falls over when it has to turn many requests away, and what it has turned away of a VM's. */
+struct BrittleEndpointMessage {
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+    std::uint32_t maxRejections = 0; ///< in a second
+    bool isRejection = false; ///< a request of the VM was turned away just now
+
+    LACEWING_MEMBERS(endpoint, incarnation, maxRejections, isRejection)
+};
+
 /** A request that was running on endpoints when they went down. */
 struct SuspectMessage {
     std::uint64_t fingerprint = 0;
@@ -346,7 +356,8 @@
     StreamOrigins = 13,
     StreamOrigin = 14,
     UnreachableServices = 15,
-    Relay = 16
+    Relay = 16,
+    BrittleEndpoint = 17
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/relay_peers.cpp
+++ b/tools/gateway/src/relay_peers.cpp
@@ -12,9 +12,10 @@
 
 } // namespace
 
-RelayPeers::RelayPeers(Context &context, FleetLinks &links, std::uint64_t seed)
+RelayPeers::RelayPeers(Context &context, FleetLinks &links, const EndpointNotices &notices, std::uint64_t seed)
     : context_(context)
     , links_(links)
+    , notices_(notices)
     , random_(seed)
     , relayedCounter_(context.metrics.counter({ "relayed_requests", "Requests that other VMs were asked to send" }))
 {
@@ -66,7 +67,7 @@
 {
     const auto refusal = refusedAt_.find({ vm, service });
     const bool hasRefused = refusal != refusedAt_.end() && context_.now() - refusal->second <= refusalTtl;
-    return !hasRefused && links_.reaches(vm, service);
+    return !hasRefused && links_.reaches(vm, service) && !notices_.sharesNoSlots(vm, service);
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/relay_peers.h
+++ b/tools/gateway/src/relay_peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "endpoint_notices.h"
 #include "fleet_links.h"
 
 #include <reachability/reachability.h>
@@ -17,7 +18,7 @@
 class RelayPeers
 {
 public:
-    RelayPeers(Context &context, FleetLinks &links, std::uint64_t seed);
+    RelayPeers(Context &context, FleetLinks &links, const EndpointNotices &notices, std::uint64_t seed);
 
     /** Returns the VM that has to send a request; empty if there is none left that may reach the service. */
     std::optional<VmId> select(const routing::ServiceId &service, const std::vector<VmId> &tried);
@@ -33,6 +34,7 @@
 
     Context &context_;
     FleetLinks &links_;
+    const EndpointNotices &notices_;
     Random random_;
     std::map<VmId, std::size_t> inFlight_;
     std::map<std::pair<VmId, routing::ServiceId>, Time> refusedAt_; ///< when a VM said that it does not reach a service
--- a/tools/gateway/src/relayed_attempt.cpp
+++ b/tools/gateway/src/relayed_attempt.cpp
@@ -107,9 +107,10 @@
 void RelayedAttempt::handleHead(RelayHeadMessage message)
 {
     recordHead({ message.status, toHeaders(std::move(message.headers)), message.framing });
-    // A quiet time holds for the VM that the endpoint answered. The rest it says to all.
+    // A quiet time holds for the VM that the endpoint answered, and that VM tells of a rejection.
     auto forAllVms = facts_;
     forAllVms.quietTime.reset();
+    forAllVms.lacksRoom = false;
     shared_.notices.handleResponse(endpoint_, forAllVms, startedAt_);
     if (facts_.isMisdirected) {
         shared_.state.endpoints().exclude(endpoint_.id);
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -38,7 +38,8 @@
     }
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
-    if (shared_.reachability.isUnreachable(service_)) {
+    if (shared_.reachability.isUnreachable(service_)
+        || shared_.notices.sharesNoSlots(shared_.context.settings.vm, service_)) {
         sendByRelay(results);
         return;
     }
@@ -119,12 +120,12 @@
     attempt->start(userplatform::makeForwardCall(request_, facts_, entry.address, parameters));
 }
 
-/** Has another VM send the request, as this one reaches no endpoint of the service. */
+/** Has another VM send the request, as this one reaches no endpoint of the service or may not send to any. */
 void RequestHandler::sendByRelay(const ResultBytes &results)
 {
     const auto relay = triedRelays_.size() < maxRelays ? shared_.relays.select(service_, triedRelays_) : std::nullopt;
     if (!relay) {
-        rejectOrFail("service unreachable", retryAfterTime());
+        rejectOrFail("no vm can send the request", retryAfterTime());
         return;
     }
     beginAttempt();
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -71,7 +71,10 @@
     for (const auto *entry : shared_.state.endpoints().availableEndpoints(service_)) {
         const bool wasTried =
             std::find(triedEndpoints.begin(), triedEndpoints.end(), entry->id) != triedEndpoints.end();
-        const bool isFull = maxConnections > 0 && shared_.loadBalancer.inFlight(entry->id) >= connectionsPerVm;
+        const std::size_t inFlight = shared_.loadBalancer.inFlight(entry->id);
+        const auto maxInFlight = shared_.notices.maxInFlight(*entry);
+        const bool isFull =
+            (maxConnections > 0 && inFlight >= connectionsPerVm) || (maxInFlight && inFlight >= *maxInFlight);
         const bool isReserved = entry->lifetime() == reserved;
         const bool isBlocked = isReserved ? shared_.notices.quietUntil(*reserved).has_value()
                                           : shared_.notices.blockedUntil(entry->lifetime()).has_value();
