--- a/tools/gateway/tests/software_version_test.cpp
+++ b/tools/gateway/tests/software_version_test.cpp
@@ -307,15 +307,31 @@
 namespace
 {
 
+/** What happens to the engine of version v1, at which the stream began, and to an engine of version v2. */
+enum class Release : std::uint8_t {
+    None, ///< v1 is the only one all the time
+    Before, ///< both serve, and v1 ends before all VMs are killed
+    JustBefore, ///< v2 comes and v1 ends a moment before all VMs are killed
+    WhileDown, ///< v2 comes and v1 ends while all VMs are down
+    WhileDownTwice, ///< the same, and all VMs are killed once more after that
+    UnderItsId, ///< the engine crashes while all VMs are down, and is back as v2 under its id
+    FromUnknown, ///< the engine had no version, and has ended
+};
+
 struct RestartCase {
-    char name[40];
-    char endedVersion[8]; ///< of an engine that leaves before all VMs are killed; empty: there is none
+    char name[60];
+    Release release;
     bool isResumed;
 };
 
 RestartCase restartCases[] = {
-    { "one version before and after", "", true },
-    { "another version has ended before", "v1", false },
+    { "one version before and after", Release::None, true },
+    { "another version has ended before", Release::Before, false },
+    { "another version has ended just before", Release::JustBefore, false },
+    { "another version has ended meanwhile", Release::WhileDown, false },
+    { "another version has ended meanwhile, two restarts", Release::WhileDownTwice, false },
+    { "another version under the same id", Release::UnderItsId, false },
+    { "an unknown version has ended meanwhile", Release::FromUnknown, false },
 };
 
 } // namespace
@@ -329,24 +345,64 @@
 ParameterizedTest(RestartCase *test, softwareVersion, versionsOutliveARestartOfAllVms)
 {
     constexpr std::size_t vms = 3;
-    const std::string ended = test->endedVersion;
-    Fleet f(vms, ended.empty() ? std::vector<std::string> { "v2" } : std::vector<std::string> { ended, "v2" });
+    Fleet f(vms, { test->release == Release::FromUnknown ? "" : "v1" });
+    auto &store = f.harness.store();
+    const auto addSecond = [&] {
+        f.engines.push_back(&f.harness.addEndpoint("g2", "engine", Behaviour::Stream, "v2"));
+    };
+    const auto restartAll = [&](const std::function<void()> &meanwhile) {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            f.harness.signal(vm, SIGKILL);
+            f.harness.waitFor([&] { return f.harness.hasEnded(vm); }, "the end of a vm");
+        }
+        meanwhile();
+        f.harness.start(0, vms);
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 1);
+        }
+    };
     const auto begun = f.beginStream(0, *f.engines.front());
-    if (!ended.empty()) {
-        std::vector<std::size_t> all { 0, 1, 2 };
-        f.harness.waitForLogLines(all, "\"software versions stored\"", 1);
-        f.harness.waitFor(
-            [&] { return f.harness.store().hasKey("keyed.lacewingfall-vms", "software-versions/engine"); },
-            "the stored versions");
-        f.harness.store().removeEndpoint("g1");
-    }
-    for (std::size_t vm = 0; vm < vms; ++vm) {
-        f.harness.signal(vm, SIGKILL);
-        f.harness.waitFor([&] { return f.harness.hasEnded(vm); }, "the end of a vm");
+    switch (test->release) {
+    case Release::None:
+        restartAll([] {});
+        break;
+    case Release::Before:
+        addSecond();
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 2);
+        }
+        f.harness.waitForLogLines({ 0, 1, 2 }, "\"versions\":2", 1);
+        store.removeEndpoint("g1");
+        restartAll([] {});
+        break;
+    case Release::JustBefore:
+        addSecond();
+        store.removeEndpoint("g1");
+        restartAll([] {});
+        break;
+    case Release::WhileDown:
+    case Release::FromUnknown:
+        restartAll([&] {
+            addSecond();
+            store.removeEndpoint("g1");
+        });
+        break;
+    case Release::WhileDownTwice:
+        restartAll([&] {
+            addSecond();
+            store.removeEndpoint("g1");
+        });
+        restartAll([] {});
+        break;
+    case Release::UnderItsId:
+        restartAll([&] {
+            f.engines.front()->crash();
+            cr_assert(f.engines.front()->restart(18, "v2").has_value());
+            store.registerEndpoint(*f.engines.front());
+        });
+        break;
     }
-    f.harness.start(0, vms);
     for (std::size_t vm = 0; vm < vms; ++vm) {
-        f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 1);
         const auto response = f.resume(vm, begun);
         cr_expect_eq(response.isComplete && response.status == net::status::ok,
                      test->isResumed,
