Gateway: the versions of engines are stored also when there is only one, as soon as they are known

Cause, as a class: absence of a record read as absence of the fact. Only services with several versions had a record. A version that was the only one and ended while no VM lived, or a moment before, had none, so VMs that had just started took the next one for the only one ever. Unknown versions were never recorded, and records were written up to a second late.

Now the set of an engine's versions is stored whatever its size, unknown ones included, when the directory changes. A VM that starts adds what it finds to what it sees; two versions mean that streams are looked up, and refused when no VM knows them.

Left: a version that comes, begins streams and ends before its record is written, while all VMs are killed, or within the seconds that a store loses which comes back from an older copy.

--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -378,8 +378,8 @@
      * there were several, none or unknown ones.
      */
     std::optional<SoftwareVersion> soleVersion(const ServiceId &service) const;
-    /** Returns the versions that serve or have served for that long; an unknown one is missing. */
-    std::set<SoftwareVersion> versions(const ServiceId &service) const;
+    /** Returns the versions that serve or have served for that long; an empty one is unknown. Valid until a change. */
+    const std::set<std::optional<SoftwareVersion>> &versions(const ServiceId &service) const;
     /** Records a version that served before this directory was created. */
     void addEndedVersion(const ServiceId &service, const std::optional<SoftwareVersion> &version, Time now);
     /** Records that a lifetime may have ended, as a connection to it was lost or refused. */
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -118,20 +118,14 @@
     return std::erase_if(endedVersions_, [&](const auto &item) { return now - item.second >= versionRetention; }) > 0;
 }
 
-std::set<SoftwareVersion> EndpointDirectory::versions(const ServiceId &service) const
+const std::set<std::optional<SoftwareVersion>> &EndpointDirectory::versions(const ServiceId &service) const
 {
+    static const std::set<std::optional<SoftwareVersion>> none;
     if (indexedRevision_ != revision_) {
         rebuildIndex();
     }
-    std::set<SoftwareVersion> known;
-    if (const auto found = versionsByService_.find(service); found != versionsByService_.end()) {
-        for (const auto &version : found->second) {
-            if (version) {
-                known.insert(*version);
-            }
-        }
-    }
-    return known;
+    const auto found = versionsByService_.find(service);
+    return found != versionsByService_.end() ? found->second : none;
 }
 
 std::optional<SoftwareVersion> EndpointDirectory::soleVersion(const ServiceId &service) const
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -414,7 +414,7 @@
 void FleetState::expireEndpoints(Time now)
 {
     const auto expiry = endpoints_.expire(now);
-    if (std::exchange(storedVersionsRevision_, endpoints_.revision()) != endpoints_.revision()) {
+    if (storedVersionsRevision_ != endpoints_.revision()) {
         storeSoftwareVersions();
     }
     if (expiry.removed > 0) {
@@ -434,6 +434,9 @@
 
 void FleetState::notifyChanged()
 {
+    if (storedVersionsRevision_ != endpoints_.revision()) {
+        storeSoftwareVersions();
+    }
     publishView();
     onChanged_();
 }
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -108,7 +108,8 @@
     void handlePushedRecords(const VmId &vm, const RecordsPush &push);
 
 private:
-    /** Keys of software versions in the VMs' topic. The value lists the versions of a service, one a line. */
+    /** Keys of software versions in the VMs' topic. The value lists the versions of a service, one a line. An
+     * empty line is an unknown version. */
     static constexpr std::string_view softwareVersionsKeyPrefix = "software-versions/";
 
     /** Local copy of one topic. */
@@ -165,8 +166,8 @@
     routing::EndpointDirectory endpoints_;
     bool endpointsLoaded_ = false;
     bool areVmsLoaded_ = false; ///< whether the records that all VMs share have been read
-    /** Versions of services that have several, as stored: a VM that starts can't see those that have ended. */
-    std::map<routing::ServiceId, std::set<routing::SoftwareVersion>> storedVersions_;
+    /** Versions of engines, as stored: a VM that starts can't see those that have ended. */
+    std::map<routing::ServiceId, std::set<std::optional<routing::SoftwareVersion>>> storedVersions_;
     std::uint64_t storedVersionsRevision_ = 0; ///< of the directory when they were last compared
     bool isDeregistered_ = false; ///< this VM leaves and has removed its address
     bool readsStore_ = true; ///< whether this VM reads the store itself
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -10,11 +10,12 @@
 void FleetState::applySoftwareVersions(std::string_view service, const std::string &value)
 {
     const routing::ServiceId id { std::string(service) };
-    std::set<routing::SoftwareVersion> &stored = storedVersions_[id];
+    auto &stored = storedVersions_[id];
     stored.clear();
     for (std::string_view rest = value; !rest.empty();) {
         const auto end = std::min(rest.find('\n'), rest.size());
-        stored.emplace(std::string(rest.substr(0, end)));
+        const std::string version(rest.substr(0, end));
+        stored.insert(version.empty() ? std::nullopt : std::optional(routing::SoftwareVersion(version)));
         rest.remove_prefix(std::min(end + 1, rest.size()));
     }
     if (!areVmsLoaded_) {
@@ -24,34 +25,33 @@
     }
 }
 
-/** Stores the versions of services that have several, so that VMs that start later know of those that have ended. */
+/**
+ * Stores the versions of engines, so that VMs that start later know of those that have ended. A version that is the
+ * only one is stored as well: another may take its place while no VM lives.
+ */
 void FleetState::storeSoftwareVersions()
 {
-    if (!isLoaded() || !areVmsLoaded_ || !isViewCurrent() || !links_.isResponsible("software versions", 1)) {
+    if (!isLoaded() || !areVmsLoaded_ || !isViewCurrent()) {
+        return;
+    }
+    storedVersionsRevision_ = endpoints_.revision();
+    if (!links_.isResponsible("software versions", 1)) {
         return;
     }
     for (const auto &service : routes_->state().services) {
-        auto versions = endpoints_.versions(service->id);
-        if (versions.size() < 2) {
-            versions.clear();
-        }
+        const auto &versions = endpoints_.versions(service->id);
         auto &stored = storedVersions_[service->id];
-        if (versions == stored) {
+        if (!service->engine || versions.empty() || versions == stored) {
             continue;
         }
         stored = versions;
-        const std::string key = std::string(softwareVersionsKeyPrefix) + service->id.text();
         std::string value;
         for (const auto &version : versions) {
-            value += (value.empty() ? "" : "\n") + version.text();
+            value += (version ? version->text() : std::string()) + "\n"; // an empty line is an unknown version
         }
         context_.logger.state("software versions stored",
                               { { "service", service->id }, { "versions", versions.size() } });
-        if (versions.empty()) {
-            store_.remove(key, [] {});
-        } else {
-            store_.put(key, value);
-        }
+        store_.put(std::string(softwareVersionsKeyPrefix) + service->id.text(), value);
     }
 }
 
