--- a/libs/net/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -22,7 +22,7 @@
         const HttpCallHandle handle(++lastHandle_);
         ++pool_.counters().calls;
         const auto onEnd = [this](HttpCallHandle ended) {
-            const auto call = calls_.extract(ended).mapped();
+            auto call = calls_.extract(ended).mapped();
             lingering_.insert(call);
             return call;
         };
--- a/libs/overload/include/overload/overload.h
+++ b/libs/overload/include/overload/overload.h
@@ -73,10 +73,10 @@
 };
 
 /**
- * Returns the number of requests that a VM may have in flight at a brittle endpoint; 0 if other VMs share its slots.
+ * Divides the slots of a brittle endpoint among VMs. VMs that know the same live VMs get the same result.
  *
- * @param vms the live VMs, on all of which the result is consistent
+ * @return for each VM the number of requests that it may have in flight there; 0 for some if there are more than slots
  */
-std::size_t shareOfSlots(const routing::EndpointEntry &endpoint, std::span<const VmId> vms, const VmId &vm);
+std::vector<std::size_t> divideSlots(const routing::EndpointEntry &endpoint, std::span<const VmId> vms);
 
 } // namespace lacewing::overload
--- a/libs/overload/src/brittle_endpoints.cpp
+++ b/libs/overload/src/brittle_endpoints.cpp
@@ -96,18 +96,21 @@
     std::erase_if(endpoints_, [&](const auto &item) { return directory.hasEnded(item.first); });
 }
 
-std::size_t shareOfSlots(const routing::EndpointEntry &endpoint, std::span<const VmId> vms, const VmId &vm)
+std::vector<std::size_t> divideSlots(const routing::EndpointEntry &endpoint, std::span<const VmId> vms)
 {
     const std::size_t slots = std::max<std::size_t>(endpoint.slots, 1);
-    if (vms.size() > slots) {
-        std::vector<std::string> names;
-        for (const auto &candidate : vms) {
-            names.push_back(candidate.text());
-        }
-        const auto chosen = rendezvous("slots/" + endpoint.id.text(), names, slots);
-        return std::any_of(chosen.begin(), chosen.end(), [&](std::size_t index) { return vms[index] == vm; }) ? 1 : 0;
+    if (vms.size() <= slots) {
+        return std::vector<std::size_t>(vms.size(), slots / std::max<std::size_t>(vms.size(), 1));
+    }
+    std::vector<std::string> names;
+    for (const auto &vm : vms) {
+        names.push_back(vm.text());
+    }
+    std::vector<std::size_t> shares(vms.size(), 0);
+    for (const auto index : rendezvous("slots/" + endpoint.id.text(), names, slots)) {
+        shares[index] = 1;
     }
-    return slots / std::max<std::size_t>(vms.size(), 1);
+    return shares;
 }
 
 } // namespace lacewing::overload
--- a/libs/overload/tests/brittle_endpoints_test.cpp
+++ b/libs/overload/tests/brittle_endpoints_test.cpp
@@ -54,10 +54,8 @@
 {
     const auto vms = someVms(test->vms);
     const auto entry = entryWith(test->slots);
-    std::size_t sum = 0;
-    for (const auto &vm : vms) {
-        sum += shareOfSlots(entry, vms, vm);
-    }
+    const auto shares = divideSlots(entry, vms);
+    const auto sum = std::accumulate(shares.begin(), shares.end(), std::size_t(0));
     cr_assert_leq(sum, test->slots);
     cr_assert_geq(2 * sum, test->slots, "%zu vms use %zu of %zu slots", test->vms, sum, test->slots);
 }
@@ -108,10 +106,12 @@
     };
     std::vector<Vm> vms(test->vms);
     const auto divided = static_cast<std::size_t>(double(test->vms) * test->wrongViewShare);
+    const auto shares = divideSlots(entry, all);
+    auto dividedShares = divideSlots(entry, firstHalf);
+    const auto otherShares = divideSlots(entry, secondHalf);
+    dividedShares.insert(dividedShares.end(), otherShares.begin(), otherShares.end());
     for (std::size_t index = 0; index < vms.size(); ++index) {
-        const bool isDivided = divided > 0;
-        const auto &view = !isDivided ? all : index < all.size() / 2 ? firstHalf : secondHalf;
-        vms[index].share = shareOfSlots(entry, view, all[index]);
+        vms[index].share = divided > 0 ? dividedShares[index] : shares[index];
         vms[index].brittle.recordAnswer(endpoint, test->maxRejections, start, start);
     }
     Random random(3);
--- a/libs/reachability/src/reachability_monitor.cpp
+++ b/libs/reachability/src/reachability_monitor.cpp
@@ -165,7 +165,9 @@
 {
     bool hasChanged = false;
     bool hasNewUnreachable = false;
-    for (auto &[id, service] : services_) {
+    for (auto &item : services_) {
+        const auto &id = item.first;
+        Service &service = item.second;
         const auto &available = directory.availableEndpoints(id);
         const auto isAvailable = [&](const EndpointId &endpoint) {
             return std::any_of(
--- a/libs/reachability/tests/reachability_monitor_test.cpp
+++ b/libs/reachability/tests/reachability_monitor_test.cpp
@@ -1,6 +1,7 @@
 #include <reachability/reachability.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -48,7 +49,7 @@
     void run(Duration time, Connections connections, double downShare = 0)
     {
         const Time end = now_ + time;
-        const auto downCount = static_cast<std::size_t>(downShare * double(count_) + 0.5);
+        const auto downCount = static_cast<std::size_t>(std::lround(downShare * double(count_)));
         for (; now_ < end; now_ += step) {
             advance(connections, downCount);
         }
--- a/tools/gateway/src/endpoint_notices.cpp
+++ b/tools/gateway/src/endpoint_notices.cpp
@@ -11,6 +11,8 @@
 constexpr Duration minReportInterval = 20ms;
 /** Number of endpoints in one heartbeat; the next one goes on with further endpoints. */
 constexpr std::size_t maxLimitsPerHeartbeat = 16;
+/** Time for which the shares of slots are kept; VMs and endpoints change rarely within it. */
+constexpr Duration slotSharesTtl = 250ms;
 
 } // namespace
 
@@ -85,6 +87,7 @@
                               { { "endpoint", endpoint.endpoint },
                                 { "max_rejections", *response.maxRejections },
                                 { "source", "endpoint" } });
+        slotShares_.reset();
         reportBrittle(endpoint, false);
     }
     if (response.lacksRoom && brittleEndpoints_.recordRejection(endpoint, true, now)) {
@@ -119,12 +122,50 @@
     }
 }
 
+const EndpointNotices::SlotShares &EndpointNotices::slotShares() const
+{
+    const Time now = context_.now();
+    if (slotShares_ && now - slotShares_->computedAt < slotSharesTtl) {
+        return *slotShares_;
+    }
+    slotShares_ = SlotShares { now, {}, {} };
+    const auto vms = links_.members(std::nullopt);
+    const auto &routes = state_.routes();
+    for (const auto &service :
+         routes ? routes->state().services : std::vector<routing::StatePart<routing::Service>>()) {
+        std::set<VmId> holders;
+        bool areAllBrittle = true;
+        const auto &available = state_.endpoints().availableEndpoints(service->id);
+        for (const auto *endpoint : available) {
+            if (!brittleEndpoints_.isBrittle(endpoint->lifetime())) {
+                areAllBrittle = false;
+                continue;
+            }
+            const auto shares = overload::divideSlots(*endpoint, vms);
+            std::size_t own = 0;
+            for (std::size_t index = 0; index < vms.size(); ++index) {
+                own = vms[index] == context_.settings.vm ? shares[index] : own;
+                if (shares[index] > 0) {
+                    holders.insert(vms[index]);
+                }
+            }
+            slotShares_->own[endpoint->id] = own;
+        }
+        if (areAllBrittle && !available.empty()) {
+            slotShares_->holders[service->id] = std::move(holders);
+        }
+    }
+    return *slotShares_;
+}
+
 std::optional<std::size_t> EndpointNotices::maxInFlight(const routing::EndpointEntry &endpoint) const
 {
     if (!brittleEndpoints_.isBrittle(endpoint.lifetime())) {
         return std::nullopt;
     }
-    return overload::shareOfSlots(endpoint, links_.members(std::nullopt), context_.settings.vm);
+    const auto &shares = slotShares().own;
+    const auto found = shares.find(endpoint.id);
+    return found == shares.end() ? 0 : found->second;
 }
 
 bool EndpointNotices::sharesNoSlots(const VmId &vm, const routing::ServiceId &service) const
@@ -132,11 +173,9 @@
     if (brittleEndpoints_.isEmpty()) {
         return false;
     }
-    const auto &available = state_.endpoints().availableEndpoints(service);
-    const auto vms = links_.members(std::nullopt);
-    return !available.empty() && std::all_of(available.begin(), available.end(), [&](const auto *endpoint) {
-        return brittleEndpoints_.isBrittle(endpoint->lifetime()) && overload::shareOfSlots(*endpoint, vms, vm) == 0;
-    });
+    const auto &holders = slotShares().holders;
+    const auto found = holders.find(service);
+    return found != holders.end() && !found->second.contains(vm);
 }
 
 void EndpointNotices::handleLeaving(const EndpointLifetimeMessage &message)
--- a/tools/gateway/src/endpoint_notices.h
+++ b/tools/gateway/src/endpoint_notices.h
@@ -8,6 +8,7 @@
 #include <dispatch/dispatch.h>
 #include <overload/overload.h>
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -65,6 +66,15 @@
     void expire(Time now);
 
 private:
+    /** How the slots of brittle endpoints are divided among the live VMs. */
+    struct SlotShares {
+        Time computedAt;
+        std::map<EndpointId, std::size_t> own; ///< by brittle endpoint: requests that this VM may have in flight
+        /** By service whose endpoints are all brittle: the VMs that have a share at one of them. */
+        std::map<routing::ServiceId, std::set<VmId>> holders;
+    };
+
+    const SlotShares &slotShares() const;
     void recordBrittleness(const routing::EndpointLifetime &endpoint,
                            const userplatform::ResponseMetadata &response,
                            Time sentAt);
@@ -79,6 +89,7 @@
     dispatch::QuietPeriods quietPeriods_;
     dispatch::SharedRateLimits rateLimits_;
     overload::BrittleEndpoints brittleEndpoints_;
+    mutable std::optional<SlotShares> slotShares_; ///< cached, as it takes a hash for each VM and endpoint
     dispatch::FleetSizeEstimate fleetSize_;
     std::optional<Time> reportedAt_; ///< when the rate limits were last reported to all VMs
     std::set<routing::EndpointLifetime> dueReports_; ///< endpoints on which a report is scheduled
--- a/tools/gateway/tests/cut/cut.cpp
+++ b/tools/gateway/tests/cut/cut.cpp
@@ -170,7 +170,7 @@
     sockaddr_in source {};
     source.sin_family = AF_INET;
     source.sin_addr.s_addr = inet_addr(variable("LACEWING_TEST_CUT_SOURCE"));
-    bind(descriptor, reinterpret_cast<const sockaddr *>(&source), sizeof source);
+    static_cast<void>(bind(descriptor, reinterpret_cast<const sockaddr *>(&source), sizeof source));
     return original(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof target);
 }
 
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -115,7 +115,8 @@
     blackHolePort_ = ntohs(address.sin_port);
     for (int index = 0; index < connections; ++index) {
         blackHole_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(blackHole_.back(), reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        static_cast<void>(
+            connect(blackHole_.back(), reinterpret_cast<const sockaddr *>(&address), sizeof address)); // in progress
     }
 }
 
