Gateway: probes of an unreachable service are due when they are due; tests look for requests by id

A timer that was set for silence, up to a second away, could delay the first probe of a service that had become unreachable meanwhile.

--- a/libs/reachability/include/reachability/reachability.h
+++ b/libs/reachability/include/reachability/reachability.h
@@ -47,6 +47,8 @@
     void onConnected(const Target &target);
     /** Called when no new connection to an endpoint could be set up. */
     void onConnectFailed(const Target &target, Time now);
+    /** Called when a probe was not attempted after all. */
+    void onProbeAborted(const Target &target);
     /** Called when a request is sent on a connection. */
     void onSent(const Target &target, Time now);
     /** Called when bytes arrive from any endpoint. */
@@ -55,8 +57,8 @@
     void onEnded();
 
     /**
-     * Returns the endpoints to which connections must be attempted now; onConnected() or onConnectFailed() has to
-     * follow for each.
+     * Returns the endpoints to which connections must be attempted now; onConnected(), onConnectFailed() or
+     * onProbeAborted() has to follow for each.
      *
      * @param services whose endpoints are looked at
      * @param mayProbe whether an endpoint may be sent anything
--- a/libs/reachability/src/reachability_monitor.cpp
+++ b/libs/reachability/src/reachability_monitor.cpp
@@ -55,6 +55,11 @@
     service.successes.erase(target.endpoint);
 }
 
+void ReachabilityMonitor::onProbeAborted(const Target &target)
+{
+    probing_.erase(target);
+}
+
 void ReachabilityMonitor::onSent(const Target &target, Time now)
 {
     if (inFlight_++ == 0) {
--- a/tools/gateway/src/endpoint_reachability.cpp
+++ b/tools/gateway/src/endpoint_reachability.cpp
@@ -58,7 +58,7 @@
 void EndpointReachability::onSent(const routing::EndpointEntry &endpoint)
 {
     monitor_.onSent(targetOf(endpoint), context_.now());
-    scheduleSilenceCheck();
+    scheduleProbes();
 }
 
 void EndpointReachability::onReceived()
@@ -82,14 +82,16 @@
     }
 }
 
-/** Makes sure that a timer fires when probes become due; one that fires early is set again. */
-void EndpointReachability::scheduleSilenceCheck()
+/** Makes sure that a timer fires when probes become due or before; one that fires early is set again. */
+void EndpointReachability::scheduleProbes()
 {
     const auto due = monitor_.nextProbeTime();
-    if (!due || timer_ != TimerHandle()) {
+    if (!due || (timer_ != TimerHandle() && timerDueAt_ <= *due)) {
         return;
     }
-    timer_ = context_.loop.timers().once(std::max(*due, context_.now()), [this](Time) {
+    context_.loop.timers().cancel(timer_);
+    timerDueAt_ = std::max(*due, context_.now());
+    timer_ = context_.loop.timers().once(timerDueAt_, [this](Time) {
         timer_ = TimerHandle();
         evaluate();
     });
@@ -128,7 +130,7 @@
     for (const auto &target : monitor_.takeDueProbes(state_.endpoints(), services, mayProbe, now)) {
         probe(target);
     }
-    scheduleSilenceCheck();
+    scheduleProbes();
 }
 
 void EndpointReachability::probe(const reachability::Target &target)
@@ -150,10 +152,12 @@
     call.connectOnly = true;
     net::HttpHandlers handlers;
     handlers.onDone = [this, endpoint, onDone = std::move(onDone)](const net::HttpEnd &end) {
-        if (end.error) {
+        if (!end.error) {
+            onConnected(endpoint);
+        } else if (end.error->kind == ErrorKind::Unreachable) {
             onConnectFailed(endpoint);
         } else {
-            onConnected(endpoint);
+            monitor_.onProbeAborted(targetOf(endpoint)); // this VM has too many connections
         }
         onDone(!end.error);
     };
--- a/tools/gateway/src/endpoint_reachability.h
+++ b/tools/gateway/src/endpoint_reachability.h
@@ -57,7 +57,7 @@
     struct OthersCheck;
 
     void scheduleEvaluation();
-    void scheduleSilenceCheck();
+    void scheduleProbes();
     void evaluate();
     void probe(const reachability::Target &target);
     void attemptConnection(const routing::EndpointEntry &endpoint, std::function<void(bool isConnected)> onDone);
@@ -73,6 +73,7 @@
     reachability::ReachabilityMonitor monitor_;
     bool isEvaluationScheduled_ = false;
     TimerHandle timer_;
+    Time timerDueAt_;
     telemetry::Counter probeCounter_;
     telemetry::Gauge unreachableGauge_;
 };
--- a/tools/gateway/tests/cut_off_vm_test.cpp
+++ b/tools/gateway/tests/cut_off_vm_test.cpp
@@ -274,19 +274,21 @@
 {
     Fleet f(3);
     f.cutOffAndWait({ 0, 1 });
-    const auto before = f.received("plain").size();
+    std::set<std::string> ids;
     for (const std::size_t vm : { 0, 1 }) {
         const auto id = f.nextId();
+        ids.insert(id);
         const auto response = f.harness.sendAndWait(vm, "POST", "/unsafe/a?b=c", headers(id), "body");
         cr_assert_eq(response.status, net::status::ok);
         cr_assert_str_eq(response.body.c_str(), "answer to POST /unsafe/a?b=c body");
         cr_assert(findReceipt(response.headers).has_value());
         cr_assert_eq(f.executionsOf(id), 1U);
     }
-    const auto requests = f.received("plain");
-    cr_assert_eq(requests.size(), before + 2);
-    for (std::size_t index = before; index < requests.size(); ++index) {
-        const auto &request = *requests[index];
+    for (const auto *received : f.received("plain")) {
+        const auto &request = *received;
+        if (!ids.contains(request.requestId())) {
+            continue;
+        }
         cr_assert_eq(f.harness.sender(request), 2U);
         cr_assert_str_eq(request.workspace().c_str(), workspace.c_str());
         cr_assert_not(request.hasApiKey());
