--- a/tools/gateway/tests/answer_framing_test.cpp
+++ b/tools/gateway/tests/answer_framing_test.cpp
@@ -133,11 +133,17 @@
     { BodyFraming::Chunked, BodyFraming::UntilClose, Claim::BrokenOff },
 };
 
-/** Runs one VM with one endpoint of each service, which sends the same answer to each request. */
+/** One endpoint of each service, which sends the same answer to each request. */
 struct Fixture {
-    explicit Fixture(const std::function<std::vector<std::string>(const std::string &receipt)> &answer, Ending ending)
-        : harness(1)
+    /** @param isCutOff whether the first VM reaches no endpoint, and a second one sends its requests */
+    explicit Fixture(const std::function<std::vector<std::string>(const std::string &receipt)> &answer,
+                     Ending ending,
+                     bool isCutOff = false)
+        : harness(isCutOff ? 2 : 1)
     {
+        if (isCutOff) {
+            harness.enableCuts();
+        }
         for (const char *service : { "plain", "engine" }) {
             const std::string id = std::string(service) + "-1";
             harness.addRawEndpoint(id, service, [answer, ending, id](const std::string &request) {
@@ -146,11 +152,32 @@
         }
         harness.store().publishDesiredState(makeState(1, allRoutes()));
         harness.start();
+        if (isCutOff) {
+            harness.waitForLinks();
+            harness.cutOffAndWait(0, { "/safe/x", "/stream/x" });
+        }
     }
 
     Harness harness;
 };
 
+void checkClaim(const FramingCase &test, bool isCutOff)
+{
+    Fixture f(
+        [&](const std::string &receipt) -> std::vector<std::string> {
+            return { answerText(receipt, test.framing, test.cut) };
+        },
+        test.ending,
+        isCutOff);
+    const auto response = f.harness.sendAndWait(0, "POST", test.target, headers("id-1"), "body");
+    const auto name = std::string(test.target) + " " + std::string(toText(test.framing)) + " cut "
+        + std::to_string(int(test.cut)) + " ending " + std::to_string(int(test.ending));
+    cr_assert_eq(int(claimOf(response)), int(test.claim), "%s: %d", name.c_str(), int(claimOf(response)));
+    if (test.claim != Claim::BrokenOff) {
+        cr_assert(response.body == cutBody(test.cut), "%s: %s", name.c_str(), response.body.c_str());
+    }
+}
+
 } // namespace
 
 ParameterizedTestParameters(answerFraming, claimsNoMoreThanTheEndpoint)
@@ -160,18 +187,18 @@
 
 ParameterizedTest(FramingCase *test, answerFraming, claimsNoMoreThanTheEndpoint)
 {
-    Fixture f(
-        [&](const std::string &receipt) -> std::vector<std::string> {
-            return { answerText(receipt, test->framing, test->cut) };
-        },
-        test->ending);
-    const auto response = f.harness.sendAndWait(0, "POST", test->target, headers("id-1"), "body");
-    const auto name = std::string(test->target) + " " + std::string(toText(test->framing)) + " cut "
-        + std::to_string(int(test->cut)) + " ending " + std::to_string(int(test->ending));
-    cr_assert_eq(int(claimOf(response)), int(test->claim), "%s: %d", name.c_str(), int(claimOf(response)));
-    if (test->claim != Claim::BrokenOff) {
-        cr_assert(response.body == cutBody(test->cut), "%s: %s", name.c_str(), response.body.c_str());
-    }
+    checkClaim(*test, false);
+}
+
+/** The same by way of another VM, as the caller's VM reaches no endpoint. */
+ParameterizedTestParameters(answerFraming, claimsNoMoreThanTheEndpointByAnotherVm)
+{
+    return cr_make_param_array(FramingCase, framingCases, std::size(framingCases));
+}
+
+ParameterizedTest(FramingCase *test, answerFraming, claimsNoMoreThanTheEndpointByAnotherVm)
+{
+    checkClaim(*test, true);
 }
 
 ParameterizedTestParameters(answerFraming, resumedStreamClaimsNoMoreThanItsLastEndpoint)
--- a/tools/gateway/tests/cut/cut.cpp
+++ b/tools/gateway/tests/cut/cut.cpp
@@ -38,6 +38,7 @@
     std::chrono::milliseconds userTimeout { 0 }; ///< TCP_USER_TIMEOUT; 0: none
     Clock::time_point unacknowledgedSince; ///< when the first bytes were written that the cut swallowed
     bool isStuck = false; ///< bytes were lost in either direction
+    bool isBroken = false; ///< reset, or given up by the kernel
 };
 
 struct State {
@@ -76,8 +77,10 @@
     return state().mode == "hang" && isAffected(connection);
 }
 
-void shutDown(int descriptor)
+/** Wakes the process up, which then gets an error for the connection. */
+void breakConnection(int descriptor, Connection &connection)
 {
+    connection.isBroken = true;
     shutdown(descriptor, SHUT_RDWR);
 }
 
@@ -103,7 +106,7 @@
             && connection.unacknowledgedSince != Clock::time_point()
             && now - connection.unacknowledgedSince > connection.userTimeout;
         if (isReset || isTimedOut || (connection.isStuck && !isHanging(connection))) {
-            shutDown(descriptor);
+            breakConnection(descriptor, connection);
         }
     }
 }
@@ -129,10 +132,14 @@
     return true;
 }
 
-/** Returns whether nothing can be read from a connection. */
+/** Returns whether nothing can be read from a connection, and sets errno then. */
 bool withholds(int descriptor)
 {
     Connection *connection = find(descriptor);
+    if (connection != nullptr && connection->isBroken) {
+        errno = ECONNRESET;
+        return true;
+    }
     if (connection == nullptr || !isHanging(*connection)) {
         return false;
     }
--- a/tools/gateway/tests/cut_off_vm_test.cpp
+++ b/tools/gateway/tests/cut_off_vm_test.cpp
@@ -67,15 +67,7 @@
     void cutOffAndWait(const std::vector<std::size_t> &vms, const std::string &target = "/safe/x")
     {
         for (const auto vm : vms) {
-            harness.cutOff(vm, PathCut::Refuse);
-        }
-        for (const auto vm : vms) {
-            harness.waitFor(
-                [&] {
-                    send(vm, target);
-                    return harness.metric(vm, "lacewing_unreachable_services") > 0;
-                },
-                "a VM that knows that it is cut off");
+            harness.cutOffAndWait(vm, { target });
         }
     }
 
--- a/tools/gateway/tests/endless_answer_test.cpp
+++ b/tools/gateway/tests/endless_answer_test.cpp
@@ -1,5 +1,7 @@
 #include "requests.h"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -81,11 +83,15 @@
     return start + receiptHeaders(endpoint, "another") + "Connection: close\r\n\r\n";
 }
 
-/** One VM whose endpoints all send the same answer without end. */
+/** Endpoints that all send the same answer without end. */
 struct Fixture {
-    explicit Fixture(const EndlessCase &test)
-        : harness(1)
+    /** @param isCutOff whether the first VM reaches no endpoint, and a second one sends its requests */
+    explicit Fixture(const EndlessCase &test, bool isCutOff = false)
+        : harness(isCutOff ? 2 : 1)
     {
+        if (isCutOff) {
+            harness.enableCuts();
+        }
         for (const char *service : { "plain", "engine", "first", "second" }) {
             const std::string id = std::string(service) + "-1";
             endpoints.push_back(&harness.addRawEndpoint(id, service, [&test, id](const std::string &request) {
@@ -95,6 +101,12 @@
         }
         harness.store().publishDesiredState(makeState(1, allRoutes()));
         harness.start();
+        if (isCutOff) {
+            harness.waitForLinks();
+            harness.cutOff(0, PathCut::Refuse);
+            const Time inForceAt = harness.loop().clock().now() + 50ms; // the VM reads it every few ms
+            harness.waitFor([&] { return harness.loop().clock().now() >= inForceAt; }, "the cut");
+        }
     }
 
     std::shared_ptr<std::optional<Response>> send(const char *target, const std::string &id)
@@ -147,6 +159,34 @@
     cr_assert((*response)->status != net::status::ok || !(*response)->isComplete, "%s", test->name);
 }
 
+/** The same by way of another VM: neither may buffer without bound. */
+ParameterizedTestParameters(endlessAnswers, areClosedInBoundedMemoryByAnotherVm)
+{
+    return cr_make_param_array(EndlessCase, endlessCases, std::size(endlessCases));
+}
+
+ParameterizedTest(EndlessCase *test, endlessAnswers, areClosedInBoundedMemoryByAnotherVm)
+{
+    Fixture f(*test, true);
+    const std::size_t before[] = { f.harness.peakMemory(0), f.harness.peakMemory(1) };
+    // The first request finds that the only endpoint is out of reach, and goes by the other VM like the second.
+    for (const char *id : { "id-1", "id-2" }) {
+        const auto response = f.send(test->target, id);
+        f.harness.waitFor([&] { return response->has_value(); }, test->name);
+        cr_assert((*response)->status != net::status::ok || !(*response)->isComplete, "%s", test->name);
+    }
+    const auto isClosed = [&] {
+        return std::all_of(f.endpoints.begin(), f.endpoints.end(), [](const auto *endpoint) {
+            return endpoint->closedConnections() >= endpoint->requestCount();
+        });
+    };
+    f.harness.waitFor(isClosed, test->name);
+    for (const std::size_t vm : { 0, 1 }) {
+        const std::size_t used = f.harness.peakMemory(vm) - before[vm];
+        cr_assert_lt(used, 2 * maxMemoryForOneAnswer, "%s: vm %zu, %zu", test->name, vm, used);
+    }
+}
+
 Test(endlessAnswers, shareOneBoundOnMemory)
 {
     constexpr int requestCount = 40;
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -136,6 +136,21 @@
     rename((path + ".new").c_str(), path.c_str());
 }
 
+void Harness::cutOffAndWait(std::size_t vm, const std::vector<std::string> &targets)
+{
+    cutOff(vm, PathCut::Refuse);
+    int requests = 0;
+    waitFor(
+        [&] {
+            for (const auto &target : targets) {
+                const auto id = "cut-off-" + std::to_string(vm) + "-" + std::to_string(++requests);
+                sendAndWait(vm, "POST", target, platform_standin::requestHeaders({ .id = id, .apiKey = "k" }), "b");
+            }
+            return metric(vm, "lacewing_unreachable_services") >= double(targets.size());
+        },
+        "a VM that knows that it is cut off");
+}
+
 std::size_t Harness::sender(const platform_standin::ReceivedRequest &request) const
 {
     for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -60,6 +60,8 @@
     void enableCuts();
     /** Cuts a VM off from some endpoints, or ends that. @param endpoints their ids; empty: all */
     void cutOff(std::size_t vm, PathCut cut, const std::vector<std::string> &endpoints = {});
+    /** Cuts a VM off from all endpoints, and waits until it has others send the requests for some targets. */
+    void cutOffAndWait(std::size_t vm, const std::vector<std::string> &targets);
     /** Returns the VM that has sent a request to an endpoint; only for VMs for which cutOff() works. */
     std::size_t sender(const platform_standin::ReceivedRequest &request) const;
     /** Starts all gateways and waits until they are ready. */
