Test of relayed answers: does not read a temporary after its end

Found by a run of test_gateway under the address sanitizer: the assertion macro kept a pointer into a string that was gone.

--- a/tools/gateway/tests/cut_off_vm_test.cpp
+++ b/tools/gateway/tests/cut_off_vm_test.cpp
@@ -282,7 +282,7 @@
             continue;
         }
         cr_assert_eq(f.harness.sender(request), 2U);
-        cr_assert_str_eq(request.workspace().c_str(), workspace.c_str());
+        cr_assert(request.workspace() == workspace);
         cr_assert_not(request.hasApiKey());
         cr_assert(request.remainingMs() > 0 && request.remainingMs() <= 15'000, "%d ms", request.remainingMs());
     }
