Pieces: coordinators are chosen anew only for pieces on a VM that reaches no stages

Found by reading the change as one request flows through it: at each change of members or endpoints a VM ranked all VMs for every pending submission, also when no VM was out of reach. The check that needs no ranking comes first; the result is the same. 27 cases of cutOffVm and the suite 'gateway' pass.

--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -218,8 +218,11 @@
     for (const auto &[id, submission] : submissions_) {
         const bool isRemote = submission->call != peer::PeerCallHandle();
         const VmId vm = isRemote ? submission->triedVms.back() : context_.settings.vm;
+        if (reachesStages(vm)) {
+            continue;
+        }
         const auto next = chooseCoordinator(submission->batch.cell, submission->triedVms);
-        if (!reachesStages(vm) && next != vm && reachesStages(next)) {
+        if (next != vm && reachesStages(next)) {
             unreachable.push_back(submission);
         }
     }
