Gateway: a stream goes on at the only version that is known once that is confirmed after the request

Cause: a VM that had missed some seconds took its view of software versions for the present. No view tells its own age. Mended: before a stream is resumed because only one version serves, the VM reads from the store what it lacks of the registrations. If the store does not respond to it, two VMs that read it are asked, which read again before they answer. One check at a time serves all requests made before it. Otherwise the origin is looked up as where several versions serve. Ruled out: refusing after each pause (streams whose version can be known have to go on); asking the clocks for a pause (a VM that has just been cut off has had none); trusting a heartbeat (it may have waited in a queue while the VM stood still). Not shown: a VM that is cut off from other VMs without a pause; the same check covers it, the harness has no such cut. Old builds ignore the new field of RecordsRequest and answer with what they have read.

--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -397,6 +397,32 @@
 template <typename... Functions>
 Overloaded(Functions...) -> Overloaded<Functions...>;
 
+/**
+ * Runs one asynchronous check for many requests.
+ *
+ * A request is answered by a check that starts after it was made: the outcome of one that is already running may be
+ * older than the request. At most one check runs at a time.
+ */
+class CoalescedCheck
+{
+public:
+    using Outcome = std::function<void(bool passed)>;
+
+    /** @param check starts a check; calls the function that it gets once, at any time */
+    explicit CoalescedCheck(std::function<void(Outcome)> check);
+
+    void request(Outcome onDone);
+
+private:
+    void start();
+    void finish(bool passed);
+
+    std::function<void(Outcome)> check_;
+    std::vector<Outcome> running_; ///< answered by the check in progress
+    std::vector<Outcome> waiting_; ///< answered by the next one
+    bool isRunning_ = false;
+};
+
 } // namespace lacewing
 
 template <typename Tag>
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -76,6 +76,10 @@
               notifyChanged();
           },
           [this] { return readsStore_ && !replicas_[Topic::Operator].isStoreLost; })
+    , storeCheck_([this](CoalescedCheck::Outcome onDone) {
+        store_.refresh(Topic::Endpoints, replicas_[Topic::Endpoints].end, std::move(onDone));
+    })
+    , viewCheck_([this](CoalescedCheck::Outcome onDone) { checkView(std::move(onDone)); })
     , endpoints_(context.settings.reregistrationPeriod)
 {
 }
@@ -582,6 +586,17 @@
 
 void FleetState::serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer)
 {
+    if (request.isCurrentRequired) {
+        const RecordsRequest unconditional { request.topic, request.startOffset };
+        storeCheck_.request([this, unconditional, writer = std::move(writer)](bool isCurrent) mutable {
+            if (isCurrent) {
+                serveRecords(unconditional, std::move(writer));
+            } else {
+                writer.fail({ ErrorKind::Unavailable, "the store does not respond to this vm" });
+            }
+        });
+        return;
+    }
     RecordsResponse response;
     const auto replica = replicas_.find(request.topic);
     if (replica != replicas_.end()) {
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -77,10 +77,19 @@
 
     /**
      * Returns the software version of a service's endpoints if it certainly is the only one that serves or has served
-     * lately. It is not certain while this VM's view may be out of date.
+     * lately. It is not certain while this VM's view may be out of date; confirmEndpoints() tells about the last
+     * second.
      */
     std::optional<routing::SoftwareVersion> soleVersion(const routing::ServiceId &service) const;
 
+    /**
+     * Brings the endpoint registrations up to date with all that the store has now. What this VM knows may be seconds
+     * old without any sign of it: after a freeze, or if its links have just been cut.
+     *
+     * @param onDone `isCurrent` is false if neither the store nor a VM that reads it has responded
+     */
+    void confirmEndpoints(std::function<void(bool isCurrent)> onDone);
+
     /**
      * Makes a lifetime of an endpoint unavailable that has said that it leaves.
      *
@@ -146,6 +155,8 @@
                      const std::vector<userplatform::StoreRecord> &records);
     void updateStoreReading();
     bool isStoreReader() const;
+    void checkView(CoalescedCheck::Outcome onDone);
+    void askReaders(CoalescedCheck::Outcome onDone);
     bool hasActiveReader() const;
     void expireEndpoints(Time now);
     void notifyChanged();
@@ -163,6 +174,8 @@
     std::shared_ptr<const routing::RouteTable> routes_;
     StateExchange stateExchange_;
     BulkResponses recordResponses_;
+    CoalescedCheck storeCheck_; ///< reads the endpoint registrations from the store
+    CoalescedCheck viewCheck_; ///< the same, or by way of a VM that reads it
     routing::EndpointDirectory endpoints_;
     bool endpointsLoaded_ = false;
     bool areVmsLoaded_ = false; ///< whether the records that all VMs share have been read
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -1,10 +1,21 @@
 #include "fleet_state.h"
 
 #include <algorithm>
+#include <memory>
 
 /** The part of FleetState that knows the software versions of endpoints. */
 namespace lacewing::gateway
 {
+namespace
+{
+
+/** VMs that are asked at the same time for the present registrations: one of them may be frozen or cut off. */
+constexpr std::size_t maxAskedReaders = 2;
+/** Covers a read of the store by the VM that is asked. */
+constexpr peer::CallLimits readerCallLimits { 150ms, 700ms, 700ms, 900ms };
+constexpr std::size_t maxReaderResponseBytes = std::size_t(4) << 20U;
+
+} // namespace
 
 /** Takes over versions that have served before this VM started. */
 void FleetState::applySoftwareVersions(std::string_view service, const std::string &value)
@@ -63,6 +74,80 @@
     return endpointsLoaded_ && (readsStore_ ? !isStoreLost : hasActiveReader());
 }
 
+void FleetState::confirmEndpoints(std::function<void(bool isCurrent)> onDone)
+{
+    viewCheck_.request(std::move(onDone));
+}
+
+void FleetState::checkView(CoalescedCheck::Outcome onDone)
+{
+    storeCheck_.request([this, onDone = std::move(onDone)](bool isCurrent) mutable {
+        if (isCurrent) {
+            onDone(true);
+        } else {
+            askReaders(std::move(onDone));
+        }
+    });
+}
+
+/** Asks VMs that read the store, those of the own zone first; the first response that arrives decides. */
+void FleetState::askReaders(CoalescedCheck::Outcome onDone)
+{
+    std::vector<VmId> readers;
+    for (const auto &id : links_.members(std::nullopt)) {
+        const auto *vm = links_.find(id);
+        if (vm != nullptr && vm->heartbeat.isReadingStore) {
+            readers.push_back(id);
+        }
+    }
+    std::stable_partition(
+        readers.begin(), readers.end(), [&](const VmId &vm) { return links_.zoneOf(vm) == context_.settings.zone; });
+    readers.resize(std::min(readers.size(), maxAskedReaders));
+    if (readers.empty()) {
+        onDone(false);
+        return;
+    }
+    struct Question {
+        std::size_t pending = 0;
+        CoalescedCheck::Outcome onDone;
+
+        void answer(bool isCurrent)
+        {
+            --pending;
+            if (onDone && (isCurrent || pending == 0)) {
+                std::exchange(onDone, {})(isCurrent);
+            }
+        }
+    };
+    const auto question = std::make_shared<Question>(Question { readers.size(), std::move(onDone) });
+    const RecordsRequest request { userplatform::Topic::Endpoints,
+                                   replicas_[userplatform::Topic::Endpoints].end.packed(),
+                                   true };
+    for (const auto &vm : readers) {
+        BulkHandlers handlers;
+        handlers.onReceived = [this, vm, question](const std::string &bytes) {
+            const auto response = wire::decode<RecordsResponse>(bytes);
+            if (response) {
+                applyPeerRecords(userplatform::Topic::Endpoints, response.value());
+            } else {
+                context_.logger.warn("malformed records", { { "vm", vm }, { "error", response.error().detail } });
+            }
+            question->answer(bool(response));
+        };
+        handlers.onFailed = [this, vm, question](const Error &error, std::size_t) {
+            context_.logger.warn("registrations not confirmed by vm",
+                                 { { "vm", vm }, { "error", toText(error.kind) } });
+            question->answer(false);
+        };
+        requestBulk(links_,
+                    vm,
+                    encodeMessage(MessageKind::Records, request),
+                    maxReaderResponseBytes,
+                    readerCallLimits,
+                    std::move(handlers));
+    }
+}
+
 std::optional<routing::SoftwareVersion> FleetState::soleVersion(const routing::ServiceId &service) const
 {
     return areVmsLoaded_ && isViewCurrent() ? endpoints_.soleVersion(service) : std::nullopt;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -284,8 +284,11 @@
 struct RecordsRequest {
     userplatform::Topic topic = userplatform::Topic::Operator;
     std::uint64_t startOffset = 0; ///< offset of the first record to return
+    /** The response has to hold all that the store has when the request arrives. Earlier versions of the gateway
+     * ignore this and return what they have read. */
+    bool isCurrentRequired = false;
 
-    LACEWING_MEMBERS(topic, startOffset)
+    LACEWING_MEMBERS(topic, startOffset, isCurrentRequired)
 };
 struct RecordMessage {
     std::string key;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -157,15 +157,32 @@
 
 void RequestHandler::lookUpOrigin()
 {
-    if (const auto origin = shared_.streamOrigins.soleOrigin(*route_)) {
-        resumeFrom(origin, "only version");
+    phase_ = Phase::LookingUpOrigin;
+    if (!shared_.streamOrigins.soleOrigin(*route_)) {
+        findOrigin();
         return;
     }
+    shared_.state.confirmEndpoints([weak = weak_from_this()](bool isCurrent) {
+        const auto self = weak.lock();
+        if (!self || self->phase_ != Phase::LookingUpOrigin) {
+            return;
+        }
+        const auto origin = isCurrent ? self->shared_.streamOrigins.soleOrigin(*self->route_) : std::nullopt;
+        if (origin) {
+            self->resumeFrom(origin, "only version");
+        } else {
+            self->findOrigin();
+        }
+    });
+}
+
+/** Looks the origin up by the request that brought the stream's first event. */
+void RequestHandler::findOrigin()
+{
     if (!facts_.resumedRequest) {
         resumeFrom(std::nullopt, "no request named");
         return;
     }
-    phase_ = Phase::LookingUpOrigin;
     const auto workspace = keyHolder_ != nullptr ? std::optional(keyHolder_->workspace) : std::nullopt;
     shared_.streamOrigins.find(StreamOrigins::keyOf(*facts_.resumedRequest, workspace),
                                [weak = weak_from_this()](const std::optional<routing::StreamOrigin> &origin) {
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -47,6 +47,7 @@
     const routing::ServiceId &chooseService();
     bool isResumption() const noexcept;
     void lookUpOrigin();
+    void findOrigin();
     void resumeFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source);
     void run();
     bool rejectIfQuarantined();
