Gateway: large fleets use the overlay; VMs that are no readers call the store four times at a start

VMs of the earlier version get them directly; protocolVersion tells them apart. A VM reads each topic once at its start; readers follow them. A VM that has just started no longer takes other zones for unreachable (it refused requests with stages for some 30 ms). A profile showed the scans of all records for each message, and copies of the list of members; both are looked up now. Before: 'restarts in a small fleet' fails with one request of staged kind refused; after: passes.

--- a/tools/gateway/src/fleet_links.cpp
+++ b/tools/gateway/src/fleet_links.cpp
@@ -3,6 +3,7 @@
 #include "fleet_task.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lacewing::gateway
 {
@@ -17,6 +18,11 @@
 constexpr Duration firstHeartbeatTimeout = 5s;
 /** Number of VMs that read the store for all: tolerates the loss of some at little load on the store. */
 constexpr std::size_t storeReaderCount = 3;
+/** Time after which a link without work is closed: a VM has few neighbours in the overlay, and many others now and
+ * then. */
+constexpr Duration linkIdleTime = 10s;
+/** Time without a heartbeat after which a VM that has said that it leaves is forgotten. */
+constexpr Duration leftVmRetention = 10s;
 constexpr std::size_t maxQueuedMessages = 256;
 constexpr std::size_t maxQueuedCalls = 4'000;
 constexpr std::size_t maxStreams = 4'000;
@@ -31,22 +37,35 @@
         .maxStreams(maxStreams)
         .pingAfter(pingIdleTime)
         .pingDeadline(pingTimeout)
+        .idleTime(linkIdleTime)
         .connectTime(connectTimeout);
     return options;
 }
 
+/** Returns a number that rises from one start of this VM to the next, unless the clock is set back. */
+std::uint64_t startEpoch()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
 } // namespace
 
-FleetLinks::FleetLinks(Context &context, FleetHandlers handlers)
+FleetLinks::FleetLinks(Context &context, FleetHandlers handlers, std::uint64_t seed)
     : context_(context)
     , handlers_(std::move(handlers))
-    , network_(context.loop,
-               makeOptions(context),
-               { [this](const peer::PeerIdentity &from, const std::string &message) { handleMessage(from, message); },
-                 [this](const peer::PeerIdentity &, peer::PeerCallWriter writer, const std::string &request) {
-                     handleCall(std::move(writer), request);
-                 } })
-{
+    , network_(
+          context.loop,
+          makeOptions(context),
+          { [this](const peer::PeerIdentity &from, const std::string &message) { handleMessage(from.vm, message); },
+            [this](const peer::PeerIdentity &, peer::PeerCallWriter writer, const std::string &request) {
+                handleCall(std::move(writer), request);
+            } })
+    , overlay_(context.settings.vm, context.settings.zone, startEpoch())
+    , random_(seed)
+{
+    lastMembers_ = { context.settings.vm };
+    localHeartbeat_.protocolVersion = overlayProtocolVersion;
     localHeartbeat_.vm = context.settings.vm.text();
     localHeartbeat_.zone = context.settings.zone.text();
     localHeartbeat_.address = address();
@@ -83,6 +102,9 @@
     peerVm.address = address;
     if (hasMoved) {
         peerVm.lastHeartbeatAt.reset();
+        peerVm.contactCount = 0;
+    }
+    if (hasMoved && !isOverlayUsed()) {
         sendHeartbeat(peerVm);
     }
     if (isNew) {
@@ -94,6 +116,7 @@
 void FleetLinks::removeVm(const VmId &vm)
 {
     vms_.erase(vm);
+    overlay_.removeMember(vm);
     updateMembers();
 }
 
@@ -128,19 +151,34 @@
     localHeartbeat_.isLeaving = true;
     handlers_.fillHeartbeat(localHeartbeat_);
     for (const auto &[id, vm] : vms_) {
-        sendHeartbeat(vm);
+        if (needsDirectHeartbeats(vm)) {
+            sendHeartbeat(vm);
+        }
     }
+    updateOverlayContent();
     updateMembers();
 }
 
 std::vector<VmId> FleetLinks::members(const std::optional<AvailabilityZoneId> &zone) const
+{
+    if (!zone) {
+        return lastMembers_;
+    }
+    std::vector<VmId> result;
+    std::copy_if(lastMembers_.begin(), lastMembers_.end(), std::back_inserter(result), [&](const VmId &vm) {
+        return zoneOf(vm) == *zone;
+    });
+    return result;
+}
+
+std::vector<VmId> FleetLinks::findMembers() const
 {
     std::vector<VmId> result;
-    if (!localHeartbeat_.isLeaving && (!zone || *zone == context_.settings.zone)) {
+    if (!localHeartbeat_.isLeaving) {
         result.push_back(context_.settings.vm);
     }
     for (const auto &[id, vm] : vms_) {
-        if (hasRecentHeartbeat(vm) && !vm.heartbeat.isLeaving && (!zone || vm.zone == *zone)) {
+        if (!vm.heartbeat.isLeaving && isLive(vm)) {
             result.push_back(id);
         }
     }
@@ -171,13 +209,14 @@
 std::size_t FleetLinks::expectedCount() const
 {
     return 1 + static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](const auto &item) {
-               return hasRecentHeartbeat(item.second) || context_.now() - item.second.addedAt < firstHeartbeatTimeout;
+               const PeerVm &vm = item.second;
+               return isLive(vm) || context_.now() - vm.addedAt < firstHeartbeatTimeout;
            }));
 }
 
 bool FleetLinks::isZoneReachable(const AvailabilityZoneId &zone) const
 {
-    if (zone == context_.settings.zone) {
+    if (zone == context_.settings.zone || (isOverlayUsed() && overlay_.hasFreshView(zone, context_.now()))) {
         return true;
     }
     bool isZoneKnown = false;
@@ -188,7 +227,8 @@
         isZoneKnown = true;
         const Duration timeout =
             HeartbeatSchedule::zoneFailureTimeout(std::chrono::milliseconds(vm.heartbeat.periodMs));
-        if (vm.lastHeartbeatAt && context_.now() - *vm.lastHeartbeatAt < timeout) {
+        // A VM that has just become known, as all have at this VM's start, has not had the time to answer.
+        if (context_.now() - vm.lastHeartbeatAt.value_or(vm.addedAt) < timeout) {
             return true;
         }
     }
@@ -204,7 +244,7 @@
 bool FleetLinks::isLive(const VmId &vm) const
 {
     const auto *peerVm = find(vm);
-    return peerVm != nullptr && hasRecentHeartbeat(*peerVm);
+    return peerVm != nullptr && isLive(*peerVm);
 }
 
 double FleetLinks::cpuShare(const VmId &vm) const
@@ -213,7 +253,7 @@
         return context_.settings.cpuShare;
     }
     const auto *peerVm = find(vm);
-    return peerVm != nullptr && peerVm->lastHeartbeatAt ? peerVm->heartbeat.cpuShare : 0;
+    return peerVm != nullptr && peerVm->isIntroduced ? peerVm->heartbeat.cpuShare : 0;
 }
 
 double FleetLinks::linkMbps(const VmId &vm) const
@@ -237,8 +277,13 @@
 
 void FleetLinks::broadcast(const std::string &message)
 {
+    const bool isFlooded = isOverlayUsed();
+    if (isFlooded) {
+        overlay_.flood(message);
+        flushOverlayIfUrgent();
+    }
     for (const auto &[id, vm] : vms_) {
-        if (hasRecentHeartbeat(vm)) {
+        if (!(isFlooded && vm.usesOverlay()) && isLive(vm)) {
             network_.send(vm.address, message);
         }
     }
@@ -270,6 +315,11 @@
     return vm.lastHeartbeatAt && context_.now() - *vm.lastHeartbeatAt < timeout;
 }
 
+bool FleetLinks::isLive(const PeerVm &vm) const
+{
+    return hasRecentHeartbeat(vm) || (isOverlayUsed() && vm.isLiveInOverlay);
+}
+
 HeartbeatLink FleetLinks::heartbeatLink(const PeerVm &vm) const
 {
     return { vm.zone == context_.settings.zone, hasRecentHeartbeat(vm), hasFleetWideRole(), vms_.size() };
@@ -288,118 +338,40 @@
     // Announces a change of the interval at once, because the receivers still expect the previous interval.
     const bool hasRoleChanged = std::exchange(hadFleetWideRole_, hasFleetWideRole()) != hasFleetWideRole();
     for (const auto &[id, vm] : vms_) {
-        if (hasRoleChanged || HeartbeatSchedule::isDue(heartbeatLink(vm), round_, hashBytes(id.text()))) {
+        const bool isDue = hasRoleChanged || HeartbeatSchedule::isDue(heartbeatLink(vm), round_, hashBytes(id.text()));
+        if (isDue && needsDirectHeartbeats(vm)) {
             sendHeartbeat(vm);
         }
     }
+    removeVmsThatHaveLeft();
+    introduceVms();
+    tickOverlay();
     updateMembers();
 }
 
-void FleetLinks::sendHeartbeat(const PeerVm &vm)
+/** VMs that don't read the store are not told of their removal from it. */
+void FleetLinks::removeVmsThatHaveLeft()
 {
-    localHeartbeat_.periodMs =
-        static_cast<std::uint32_t>(toMilliseconds(HeartbeatSchedule::interval(heartbeatLink(vm))));
-    network_.send(vm.address, encodeMessage(MessageKind::Heartbeat, localHeartbeat_));
-}
-
-void FleetLinks::handleMessage(const peer::PeerIdentity &from, const std::string &message)
-{
-    const auto body = std::string_view(message).substr(message.empty() ? 0 : 1);
-    const auto kind = message.empty() ? MessageKind() : MessageKind(message.front());
-    const auto deliver = [&]<typename Message>(const std::function<void(const Message &)> &handler) {
-        if (const auto decoded = wire::decode<Message>(body)) {
-            handler(decoded.value());
-        } else {
-            context_.logger.warn("malformed message", { { "vm", from.vm }, { "error", decoded.error().detail } });
+    std::vector<VmId> left;
+    for (auto &[id, vm] : vms_) {
+        if (!vm.heartbeat.isLeaving || isLive(vm)) {
+            vm.leftAt.reset();
+        } else if (!vm.leftAt) {
+            vm.leftAt = context_.now();
+        } else if (context_.now() - *vm.leftAt >= leftVmRetention) {
+            left.push_back(id);
         }
-    };
-    switch (kind) {
-    case MessageKind::Heartbeat:
-        deliver(
-            std::function<void(const Heartbeat &)>([this](const Heartbeat &heartbeat) { handleHeartbeat(heartbeat); }));
-        break;
-    case MessageKind::Release:
-        deliver(handlers_.onRelease);
-        break;
-    case MessageKind::Suspect:
-        deliver(handlers_.onSuspect);
-        break;
-    case MessageKind::RateLimits:
-        deliver(handlers_.onRateLimits);
-        break;
-    case MessageKind::SuspectParts:
-        deliver(handlers_.onSuspectParts);
-        break;
-    case MessageKind::StreamOrigins:
-        deliver(handlers_.onStreamOrigins);
-        break;
-    case MessageKind::EndpointLeaving:
-        deliver(handlers_.onEndpointLeaving);
-        break;
-    case MessageKind::BrittleEndpoint:
-        deliver(handlers_.onBrittleEndpoint);
-        break;
-    case MessageKind::StateAnnouncement:
-        deliver(std::function<void(const StateAnnouncement &)>(
-            [&](const StateAnnouncement &announcement) { handlers_.onStateAnnounced(from.vm, announcement); }));
-        break;
-    case MessageKind::RecordsPush:
-        deliver(std::function<void(const RecordsPush &)>(
-            [&](const RecordsPush &push) { handlers_.onRecordsPushed(from.vm, push); }));
-        break;
-    case MessageKind::UnreachableServices:
-        deliver(std::function<void(const UnreachableServicesMessage &)>([&](const auto &unreachable) {
-            const auto found = vms_.find(from.vm);
-            if (found != vms_.end() && found->second.heartbeat.unreachableServices != unreachable.services) {
-                found->second.heartbeat.unreachableServices = unreachable.services;
-                handlers_.onMembersChanged();
-            }
-        }));
-        break;
-    case MessageKind::Pieces:
-    case MessageKind::Relay:
-    case MessageKind::Records:
-    case MessageKind::State:
-    case MessageKind::StreamOrigin:
-    case MessageKind::Suspects:
-        break;
+    }
+    for (const auto &id : left) {
+        removeVm(id);
     }
 }
 
-void FleetLinks::handleCall(peer::PeerCallWriter writer, const std::string &request)
+void FleetLinks::sendHeartbeat(const PeerVm &vm)
 {
-    const auto body = std::string_view(request).substr(request.empty() ? 0 : 1);
-    const auto kind = request.empty() ? MessageKind() : MessageKind(request.front());
-    if (kind == MessageKind::Pieces) {
-        if (auto decoded = wire::decode<PiecesRequest>(body)) {
-            handlers_.onPieces(std::move(decoded.value()), std::move(writer));
-            return;
-        }
-    } else if (kind == MessageKind::Relay) {
-        if (auto decoded = wire::decode<RelayRequest>(body)) {
-            handlers_.onRelay(std::move(decoded.value()), std::move(writer));
-            return;
-        }
-    } else if (kind == MessageKind::Records) {
-        if (const auto decoded = wire::decode<RecordsRequest>(body)) {
-            handlers_.onRecords(decoded.value(), std::move(writer));
-            return;
-        }
-    } else if (kind == MessageKind::State) {
-        if (const auto decoded = wire::decode<StateRequest>(body)) {
-            handlers_.onStateRequested(decoded.value(), std::move(writer));
-            return;
-        }
-    } else if (kind == MessageKind::StreamOrigin) {
-        if (const auto decoded = wire::decode<StreamOriginRequest>(body)) {
-            handlers_.onStreamOriginRequested(decoded.value(), std::move(writer));
-            return;
-        }
-    } else if (kind == MessageKind::Suspects) {
-        handlers_.onSuspectsRequested(std::move(writer));
-        return;
-    }
-    writer.fail({ ErrorKind::Malformed, "malformed request" });
+    localHeartbeat_.periodMs =
+        static_cast<std::uint32_t>(toMilliseconds(HeartbeatSchedule::interval(heartbeatLink(vm))));
+    network_.send(vm.address, encodeMessage(MessageKind::Heartbeat, localHeartbeat_));
 }
 
 void FleetLinks::handleHeartbeat(const Heartbeat &heartbeat)
@@ -410,13 +382,16 @@
     }
     updateAddress(id, AvailabilityZoneId(heartbeat.zone), heartbeat.address);
     PeerVm &vm = vms_[id];
-    const bool wasLive = hasRecentHeartbeat(vm);
+    const bool wasLive = isLive(vm);
     const bool hasChanged = !wasLive || vm.heartbeat.isLeaving != heartbeat.isLeaving;
     const bool reachesOthers = vm.heartbeat.unreachableServices != heartbeat.unreachableServices;
     vm.lastHeartbeatAt = context_.now();
     vm.heartbeat = heartbeat;
+    vm.isIntroduced = true;
+    if (vm.usesOverlay()) {
+        overlay_.addMember(id, vm.zone, context_.now());
+    }
     if (!wasLive) {
-        context_.logger.state("vm live", { { "vm", id }, { "zone", vm.zone } });
         sendHeartbeat(vm);
     }
     if (hasChanged) {
@@ -430,15 +405,22 @@
 
 void FleetLinks::updateMembers()
 {
-    auto now = members(std::nullopt);
+    auto now = findMembers();
     if (now == lastMembers_) {
         return;
     }
-    for (const auto &id : lastMembers_) {
-        if (std::find(now.begin(), now.end(), id) == now.end()) {
-            const auto *vm = find(id);
-            const bool isLeaving = vm != nullptr && vm->heartbeat.isLeaving;
-            context_.logger.state(isLeaving ? "vm leaving" : "vm not live", { { "vm", id } });
+    std::vector<VmId> gone;
+    std::vector<VmId> joined;
+    std::set_difference(lastMembers_.begin(), lastMembers_.end(), now.begin(), now.end(), std::back_inserter(gone));
+    std::set_difference(now.begin(), now.end(), lastMembers_.begin(), lastMembers_.end(), std::back_inserter(joined));
+    for (const auto &id : gone) {
+        const auto *vm = find(id);
+        const bool isLeaving = vm != nullptr && vm->heartbeat.isLeaving;
+        context_.logger.state(isLeaving ? "vm leaving" : "vm not live", { { "vm", id } });
+    }
+    for (const auto &id : joined) {
+        if (id != context_.settings.vm) {
+            context_.logger.state("vm live", { { "vm", id }, { "zone", zoneOf(id) } });
         }
     }
     lastMembers_ = std::move(now);
--- a/tools/gateway/src/fleet_links.h
+++ b/tools/gateway/src/fleet_links.h
@@ -5,6 +5,7 @@
 #include "peer_messages.h"
 #include "relay_messages.h"
 
+#include <membership/membership.h>
 #include <peer/peer.h>
 
 #include <functional>
@@ -19,9 +20,20 @@
 struct PeerVm {
     AvailabilityZoneId zone;
     std::string address; ///< where it listens for links from other VMs
-    std::optional<Time> lastHeartbeatAt; ///< arrival of its latest heartbeat
-    Heartbeat heartbeat; ///< its latest heartbeat
+    std::optional<Time> lastHeartbeatAt; ///< arrival of its latest heartbeat from itself
+    /** The latest that it has told. Without a fleet-wide role it tells its position in the store to neighbours only. */
+    Heartbeat heartbeat;
     Time addedAt; ///< when it became known
+    bool isIntroduced = false; ///< whether its heartbeat has been received, also by way of other VMs
+    bool isLiveInOverlay = false; ///< whether the overlay says that it is live
+    std::optional<Time> leftAt; ///< when it was no longer live after it had said that it leaves
+    std::optional<Time> lastContactAt; ///< when this VM sent it a heartbeat to make itself known
+    int contactCount = 0;
+
+    bool usesOverlay() const noexcept
+    {
+        return heartbeat.protocolVersion >= 1;
+    }
 };
 
 /** Callbacks for messages and calls from other VMs. */
@@ -41,7 +53,11 @@
     std::function<void(const StateRequest &, peer::PeerCallWriter)> onStateRequested;
     std::function<void(RelayRequest, peer::PeerCallWriter)> onRelay;
     std::function<void(peer::PeerCallWriter)> onSuspectsRequested;
+    std::function<void(const std::vector<RejectedRequestMessage> &)> onRejections;
+    /** Called for what a VM tells its neighbours in the overlay, or all VMs in a small fleet. */
     std::function<void(const VmId &, const Heartbeat &)> onHeartbeat;
+    /** Called for what a VM with a fleet-wide role, or one that had it before, tells all others. */
+    std::function<void(const VmId &, const Heartbeat &)> onRoleChanged;
     std::function<void(Heartbeat &)> fillHeartbeat; ///< fills in the contents of the next heartbeat
     /** Called when a VM joined, left, is no longer live, or reaches other services than before. */
     std::function<void()> onMembersChanged;
@@ -50,14 +66,15 @@
 /**
  * Membership of the fleet of VMs, and messages and calls between them.
  *
- * Each VM sends heartbeats to the others: frequently within its own zone, and infrequently to other zones unless it has
- * a fleet-wide role, such as reading the store. A VM with several consecutive missing heartbeats is not live until the
- * next one arrives. Correctness does not depend on this view.
+ * In a small fleet each VM sends heartbeats to all others. In a larger one they form an overlay, by which heartbeats
+ * and messages to all are passed on. VMs of an earlier version, which know nothing of it, get heartbeats and messages
+ * directly. Correctness does not depend on this view.
  */
 class FleetLinks
 {
 public:
-    FleetLinks(Context &context, FleetHandlers handlers);
+    /** @param seed for the choice of VMs that are contacted */
+    FleetLinks(Context &context, FleetHandlers handlers, std::uint64_t seed);
 
     Result<void> listen();
     /** Returns the address where this VM listens for links. */
@@ -89,6 +106,11 @@
     std::size_t expectedCount() const;
     /** Returns false if VMs of the zone are known and none of them sends heartbeats. */
     bool isZoneReachable(const AvailabilityZoneId &zone) const;
+    /** Returns whether the fleet is too large for heartbeats from each VM to all. */
+    bool isLargeFleet() const noexcept
+    {
+        return isOverlayUsed();
+    }
     const PeerVm *find(const VmId &vm) const;
     /** Returns whether another VM sent a heartbeat recently. */
     bool isLive(const VmId &vm) const;
@@ -107,18 +129,37 @@
                               peer::CallHandlers handlers);
     void cancel(peer::PeerCallHandle handle);
     peer::PeerCounters counters() const;
+    /** Returns the number of VMs with which this VM exchanges messages in the overlay; 0 in a small fleet. */
+    std::size_t neighbourCount() const
+    {
+        return isOverlayUsed() ? overlay_.neighbours().size() : 0;
+    }
 
 private:
     std::vector<VmId> responsibleVms(std::string_view task, std::size_t count) const;
     bool hasRecentHeartbeat(const PeerVm &vm) const;
+    bool isLive(const PeerVm &vm) const;
+    bool isOverlayUsed() const noexcept;
+    bool needsDirectHeartbeats(const PeerVm &vm) const noexcept;
     HeartbeatLink heartbeatLink(const PeerVm &vm) const;
     bool hasFleetWideRole() const noexcept;
     void sendHeartbeats();
     void sendHeartbeat(const PeerVm &vm);
-    void handleMessage(const peer::PeerIdentity &from, const std::string &message);
+    void removeVmsThatHaveLeft();
+    void introduceVms();
+    void tickOverlay();
+    void updateOverlayContent();
+    void updateOverlayLiveness();
+    void sendOverlayMessages(const std::vector<membership::OutgoingMessage> &messages);
+    void flushOverlayIfUrgent();
+    void handleOverlayMessage(const VmId &from, const membership::OverlayMessage &message);
+    void handleRecord(const membership::MemberRecord &record);
+    void logPlace();
+    void handleMessage(const VmId &from, const std::string &message);
     void handleCall(peer::PeerCallWriter writer, const std::string &request);
     void handleHeartbeat(const Heartbeat &heartbeat);
     void updateMembers();
+    std::vector<VmId> findMembers() const;
 
     Context &context_;
     FleetHandlers handlers_;
@@ -127,7 +168,12 @@
     Heartbeat localHeartbeat_;
     std::uint64_t round_ = 0; ///< number of the current heartbeat round
     bool hadFleetWideRole_ = false; ///< value in the previous round
-    std::vector<VmId> lastMembers_;
+    std::vector<VmId> lastMembers_; ///< sorted; at most a round old
+    membership::Overlay overlay_;
+    std::uint64_t overlayRevision_ = 0; ///< of its live VMs when they were last taken over
+    std::string lastPlace_; ///< in the overlay, for the log
+    bool isFlushScheduled_ = false;
+    Random random_;
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -19,13 +19,18 @@
 constexpr userplatform::WatchOptions endpointWatchTimes { 500ms, 350ms, 150ms };
 /** For the addresses of VMs, which heartbeats carry too. */
 constexpr userplatform::WatchOptions vmWatchTimes { 20s, 5s, 500ms };
-/** Time after the start during which each VM reads the store itself, until it has received heartbeats of the others. */
-constexpr Duration initialReadingTime = 500ms;
+/** Time after the start until a VM decides whether it reads the store, by when it has heard of the others. It reads all
+ * topics once before. */
+constexpr Duration firstReaderCheckDelay = 500ms;
+/** The same in a fleet of many VMs, which hear of each other by way of neighbours. */
+constexpr Duration firstReaderCheckDelayInLargeFleet = 1s;
 /** A version counts as overdue this long before the operator expects it in force: the store has confirmed it some time
  * before this VM heard of it. */
 constexpr Duration overdueMargin = 300ms;
 /** Interval of the checks whether this VM has to read the store; similar to the heartbeat interval. */
 constexpr Duration readerCheckInterval = 200ms;
+/** Time after the first check for which the readers may not have said yet that they are. */
+constexpr Duration readerAnnouncementTime = 750ms;
 /** Minimum interval between requests for records to other VMs. */
 constexpr Duration minPeerRequestInterval = 300ms;
 /** Interval of the checks for registrations that expired after an outage of the store. */
@@ -79,7 +84,7 @@
     , storeCheck_([this](CoalescedCheck::Outcome onDone) {
         store_.refresh(Topic::Endpoints, replicas_[Topic::Endpoints].end, std::move(onDone));
     })
-    , viewCheck_([this](CoalescedCheck::Outcome onDone) { checkView(std::move(onDone)); })
+    , viewCheck_([this](CoalescedCheck::Outcome onDone) { startViewCheck(std::move(onDone)); })
     , endpoints_(context.settings.reregistrationPeriod)
 {
 }
@@ -90,8 +95,16 @@
     watch(Topic::Endpoints, endpointWatchTimes);
     store_.put(context_.settings.vm.text(), ownAddressValue());
     watch(Topic::Vms, vmWatchTimes);
-    context_.loop.timers().every(
-        context_.now() + initialReadingTime, readerCheckInterval, [this](Time) { updateStoreReading(); });
+    for (const Topic topic : { Topic::Operator, Topic::Endpoints, Topic::Vms }) {
+        store_.setActive(topic, false, {}); // each is read once, and followed if this VM turns out to be a reader
+    }
+    const Time startedAt = context_.now();
+    context_.loop.timers().every(startedAt + firstReaderCheckDelay, readerCheckInterval, [this, startedAt](Time now) {
+        const bool isEarly = links_.isLargeFleet() && now - startedAt < firstReaderCheckDelayInLargeFleet;
+        if (!isEarly) {
+            updateStoreReading();
+        }
+    });
     context_.loop.timers().every(
         context_.now() + expiryCheckInterval, expiryCheckInterval, [this](Time now) { expireEndpoints(now); });
 }
@@ -163,6 +176,7 @@
             }
         }
         areVmsLoaded_ = true;
+        isVmsReadDue_ = false;
     }
     if (isRollback && isSnapshot && topic == Topic::Vms) {
         rewriteLostRecords(records);
@@ -201,6 +215,11 @@
     if (topic == Topic::Endpoints) {
         endpoints_.onRegistryRolledBack(context_.now());
     }
+    if (topic != Topic::Vms && replicas_[Topic::Vms].end.era() < era) {
+        // What this VM has written may be lost.
+        isVmsReadDue_ = true;
+        store_.setActive(Topic::Vms, true, {});
+    }
 }
 
 /** Writes this VM's address again if the store has lost it, and what all VMs share if this VM is responsible for it. */
@@ -472,7 +491,11 @@
 
 void FleetState::updateStoreReading()
 {
-    const bool shouldRead = !isLoaded() || isStoreReader() || !hasActiveReader();
+    if (!std::exchange(isReaderRoleKnown_, true)) {
+        readersExpectedUntil_ = context_.now() + readerAnnouncementTime;
+    }
+    const bool areReadersMissing = context_.now() >= readersExpectedUntil_ && !hasActiveReader();
+    const bool shouldRead = !isLoaded() || isStoreReader() || areReadersMissing;
     if (shouldRead != readsStore_) {
         readsStore_ = shouldRead;
         context_.logger.state("store reading changed", { { "active", shouldRead } });
@@ -486,6 +509,7 @@
         replicas_[topic].isStoreLost = replicas_[topic].isStoreLost && shouldRead;
         store_.setActive(topic, shouldRead, replicas_[topic].end);
     }
+    store_.setActive(Topic::Vms, shouldRead || isVmsReadDue_, {});
 }
 
 void FleetState::pushRecords(Topic topic, LogPosition start, const std::vector<StoreRecord> &records)
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -46,6 +46,10 @@
     /** Removes a quarantine from the store; not retried on failure. */
     void removeQuarantine(std::string_view name);
 
+    const userplatform::StoreCounters &storeCounters() const noexcept
+    {
+        return store_.counters();
+    }
     /** Returns the routes of the desired state in force; null until one has been read. */
     const std::shared_ptr<const routing::RouteTable> &routes() const noexcept
     {
@@ -77,10 +81,11 @@
 
     /**
      * Returns the software version of a service's endpoints if it certainly is the only one that serves or has served
-     * lately. It is not certain while this VM's view may be out of date; confirmEndpoints() tells about the last
-     * second.
+     * lately. It is not certain while this VM's view may be out of date.
+     *
+     * @param isConfirmed whether confirmEndpoints() has just brought the view up to date
      */
-    std::optional<routing::SoftwareVersion> soleVersion(const routing::ServiceId &service) const;
+    std::optional<routing::SoftwareVersion> soleVersion(const routing::ServiceId &service, bool isConfirmed) const;
 
     /**
      * Brings the endpoint registrations up to date with all that the store has now. What this VM knows may be seconds
@@ -155,7 +160,8 @@
                      const std::vector<userplatform::StoreRecord> &records);
     void updateStoreReading();
     bool isStoreReader() const;
-    void checkView(CoalescedCheck::Outcome onDone);
+    void startViewCheck(CoalescedCheck::Outcome onDone);
+    void checkView(int remainingChecks, CoalescedCheck::Outcome onDone);
     void askReaders(CoalescedCheck::Outcome onDone);
     bool hasActiveReader() const;
     void expireEndpoints(Time now);
@@ -178,12 +184,15 @@
     CoalescedCheck viewCheck_; ///< the same, or by way of a VM that reads it
     routing::EndpointDirectory endpoints_;
     bool endpointsLoaded_ = false;
+    bool isVmsReadDue_ = false; ///< the topic that all VMs share has to be read although this VM is no reader
     bool areVmsLoaded_ = false; ///< whether the records that all VMs share have been read
     /** Versions of engines, as stored: a VM that starts can't see those that have ended. */
     std::map<routing::ServiceId, std::set<std::optional<routing::SoftwareVersion>>> storedVersions_;
     std::uint64_t storedVersionsRevision_ = 0; ///< of the directory when they were last compared
     bool isDeregistered_ = false; ///< this VM leaves and has removed its address
-    bool readsStore_ = true; ///< whether this VM reads the store itself
+    bool isReaderRoleKnown_ = false; ///< whether this VM has found out if it has to follow the store
+    Time readersExpectedUntil_; ///< no VM may have said until then that it reads the store
+    bool readsStore_ = false; ///< whether this VM follows the store itself
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t maxAskedReaders = 2;
 /** Covers a read of the store by the VM that is asked. */
 constexpr peer::CallLimits readerCallLimits { 150ms, 700ms, 700ms, 900ms };
+/** Attempts to confirm the registrations, and the time between them. A VM that wakes up has links to make anew. */
+constexpr int maxViewChecks = 4;
+constexpr Duration viewCheckInterval = 200ms;
 constexpr std::size_t maxReaderResponseBytes = std::size_t(4) << 20U;
 
 } // namespace
@@ -71,7 +74,9 @@
 {
     const auto found = replicas_.find(userplatform::Topic::Endpoints);
     const bool isStoreLost = found == replicas_.end() || found->second.isStoreLost;
-    return endpointsLoaded_ && (readsStore_ ? !isStoreLost : hasActiveReader());
+    // A VM that has just started has read all registrations a moment ago.
+    const bool hasJustStarted = !isReaderRoleKnown_ || context_.now() < readersExpectedUntil_;
+    return endpointsLoaded_ && (readsStore_ || hasJustStarted ? !isStoreLost : hasActiveReader());
 }
 
 void FleetState::confirmEndpoints(std::function<void(bool isCurrent)> onDone)
@@ -79,13 +84,26 @@
     viewCheck_.request(std::move(onDone));
 }
 
-void FleetState::checkView(CoalescedCheck::Outcome onDone)
+void FleetState::startViewCheck(CoalescedCheck::Outcome onDone)
 {
-    storeCheck_.request([this, onDone = std::move(onDone)](bool isCurrent) mutable {
+    checkView(maxViewChecks, std::move(onDone));
+}
+
+void FleetState::checkView(int remainingChecks, CoalescedCheck::Outcome onDone)
+{
+    const auto onAnswered = [this, remainingChecks, onDone](bool isCurrent) {
+        if (isCurrent || remainingChecks <= 1) {
+            onDone(isCurrent);
+            return;
+        }
+        context_.loop.timers().once(context_.now() + viewCheckInterval,
+                                    [this, remainingChecks, onDone](Time) { checkView(remainingChecks - 1, onDone); });
+    };
+    storeCheck_.request([this, onAnswered](bool isCurrent) {
         if (isCurrent) {
-            onDone(true);
+            onAnswered(true);
         } else {
-            askReaders(std::move(onDone));
+            askReaders(onAnswered);
         }
     });
 }
@@ -148,9 +166,10 @@
     }
 }
 
-std::optional<routing::SoftwareVersion> FleetState::soleVersion(const routing::ServiceId &service) const
+std::optional<routing::SoftwareVersion> FleetState::soleVersion(const routing::ServiceId &service,
+                                                                bool isConfirmed) const
 {
-    return areVmsLoaded_ && isViewCurrent() ? endpoints_.soleVersion(service) : std::nullopt;
+    return areVmsLoaded_ && (isConfirmed || isViewCurrent()) ? endpoints_.soleVersion(service) : std::nullopt;
 }
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -51,7 +51,7 @@
     : context_(context)
     , random_(seed)
     , signals_(context.loop.ioContext(), SIGTERM, SIGINT, SIGHUP)
-    , links_(context, makeFleetHandlers())
+    , links_(context, makeFleetHandlers(), random_.next())
     , state_(
           context,
           links_,
@@ -183,6 +183,16 @@
         double(peers.bytesReceived));
     set({ "peer_messages_dropped", "Messages to other VMs that were dropped since the start" },
         double(peers.messagesDropped));
+    set({ "overlay_neighbours", "VMs with which this VM exchanges messages to keep up membership" },
+        double(links_.neighbourCount()));
+    const auto &store = state_.storeCounters();
+    set({ "store_reads", "Reads of the store since the start, of all kinds" }, double(store.reads));
+    set({ "store_snapshot_pages", "Reads of all newest records of a topic since the start" },
+        double(store.snapshotPages));
+    set({ "store_refreshes", "Reads since the start that confirm that this VM is up to date" },
+        double(store.refreshes));
+    set({ "store_failed_reads", "Reads of the store since the start that failed" }, double(store.failedReads));
+    set({ "store_appends", "Writes to the store since the start" }, double(store.appends));
 }
 
 void Gateway::handleReadinessCheck(const net::HttpRequest &request, net::ResponseWriter writer)
@@ -237,6 +247,16 @@
     }
 }
 
+void Gateway::handleRejections(const std::vector<RejectedRequestMessage> &messages)
+{
+    std::vector<dispatch::Rejection> rejections;
+    for (const auto &message : messages) {
+        rejections.push_back({ Fingerprint(message.fingerprint),
+                               context_.now() - std::chrono::milliseconds(message.sinceFirstAttemptMs) });
+    }
+    shared_.rejectionHistory.merge(rejections, context_.now());
+}
+
 FleetHandlers Gateway::makeFleetHandlers()
 {
     FleetHandlers handlers;
@@ -276,12 +296,14 @@
         poisonRequests_.handleHeartbeat(vm, heartbeat);
         pieces_.handleLoads(vm, heartbeat.loads);
         notices_.handleRateLimits({ heartbeat.vm, heartbeat.incarnation, heartbeat.rateLimits });
-        std::vector<dispatch::Rejection> rejections;
-        for (const auto &message : heartbeat.rejectedRequests) {
-            rejections.push_back({ Fingerprint(message.fingerprint),
-                                   context_.now() - std::chrono::milliseconds(message.sinceFirstAttemptMs) });
-        }
-        shared_.rejectionHistory.merge(rejections, context_.now());
+        handleRejections(heartbeat.rejectedRequests);
+    };
+    handlers.onRoleChanged = [this](const VmId &vm, const Heartbeat &heartbeat) {
+        state_.handleHeartbeat(vm, heartbeat);
+        pieces_.handleLoads(vm, heartbeat.loads);
+    };
+    handlers.onRejections = [this](const std::vector<RejectedRequestMessage> &rejections) {
+        handleRejections(rejections);
     };
     handlers.fillHeartbeat = [this](Heartbeat &heartbeat) {
         streamOrigins_.update();
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -37,6 +37,7 @@
     void handleQuarantineRead(std::string_view name, const std::string &bytes);
     void handlePartsQuarantined();
     void handleReachabilityChange();
+    void handleRejections(const std::vector<RejectedRequestMessage> &messages);
     FleetHandlers makeFleetHandlers();
 
     Context &context_;
--- a/tools/gateway/src/peer_messages.h
+++ b/tools/gateway/src/peer_messages.h
@@ -16,6 +16,9 @@
 namespace lacewing::gateway
 {
 
+/** Heartbeat::protocolVersion of VMs that take part in the overlay of a large fleet. */
+constexpr std::uint32_t overlayProtocolVersion = 1;
+
 /** Load of a service in one cell, reported by the VM that coordinates the cell. */
 struct LoadMessage {
     std::string service;
@@ -103,6 +106,7 @@
     std::vector<RateLimitMessage> rateLimits; ///< that it knows
     std::uint64_t stateDigest = 0; ///< of the contents of the desired state in force
     std::vector<std::string> unreachableServices; ///< of which it reaches no endpoint
+    std::uint32_t protocolVersion = 0; ///< of what the VM understands; 0: it takes no part in the overlay
 
     LACEWING_MEMBERS(vm,
                      zone,
@@ -121,7 +125,15 @@
                      linkMbps,
                      rateLimits,
                      stateDigest,
-                     unreachableServices)
+                     unreachableServices,
+                     protocolVersion)
+};
+
+/** Tells all VMs of requests that a VM has rejected. */
+struct RejectionsMessage {
+    std::vector<RejectedRequestMessage> rejectedRequests;
+
+    LACEWING_MEMBERS(rejectedRequests)
 };
 
 /** One piece in a call to the VM that coordinates the piece's cell. */
@@ -360,7 +372,9 @@
     StreamOrigin = 14,
     UnreachableServices = 15,
     Relay = 16,
-    BrittleEndpoint = 17
+    BrittleEndpoint = 17,
+    Overlay = 18,
+    Rejections = 19
 };
 
 /** Encodes a message that consists of its kind only. */
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -256,7 +256,7 @@
     ownStream_ = StreamOrigins::keyOf(facts_.id, workspace);
     const Time expiresAt = request_.receivedAt + facts_.callerTimeout.value_or(route_->timeout) + originMargin;
     shared_.streamOrigins.onBegun(
-        *ownStream_, *origin_, shared_.streamOrigins.soleOrigin(*route_).has_value(), expiresAt);
+        *ownStream_, *origin_, shared_.streamOrigins.soleOrigin(*route_, false).has_value(), expiresAt);
 }
 
 void RequestHandler::forwardBytes(std::string_view bytes)
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -158,7 +158,7 @@
 void RequestHandler::lookUpOrigin()
 {
     phase_ = Phase::LookingUpOrigin;
-    if (!shared_.streamOrigins.soleOrigin(*route_)) {
+    if (!shared_.streamOrigins.soleOrigin(*route_, true)) {
         findOrigin();
         return;
     }
@@ -167,7 +167,7 @@
         if (!self || self->phase_ != Phase::LookingUpOrigin) {
             return;
         }
-        const auto origin = isCurrent ? self->shared_.streamOrigins.soleOrigin(*self->route_) : std::nullopt;
+        const auto origin = isCurrent ? self->shared_.streamOrigins.soleOrigin(*self->route_, true) : std::nullopt;
         if (origin) {
             self->resumeFrom(origin, "only version");
         } else {
--- a/tools/gateway/src/stream_origins.cpp
+++ b/tools/gateway/src/stream_origins.cpp
@@ -92,16 +92,16 @@
 
 bool StreamOrigins::isSole(const routing::ServiceId &service) const
 {
-    return state_.soleVersion(service).has_value();
+    return state_.soleVersion(service, false).has_value();
 }
 
-std::optional<StreamOrigin> StreamOrigins::soleOrigin(const routing::Route &route) const
+std::optional<StreamOrigin> StreamOrigins::soleOrigin(const routing::Route &route, bool isConfirmed) const
 {
     if (route.services.size() != 1) {
         return std::nullopt;
     }
     const auto &service = route.services.front().service;
-    const auto version = state_.soleVersion(service);
+    const auto version = state_.soleVersion(service, isConfirmed);
     return version ? std::optional(StreamOrigin { service, version }) : std::nullopt;
 }
 
--- a/tools/gateway/src/stream_origins.h
+++ b/tools/gateway/src/stream_origins.h
@@ -59,8 +59,12 @@
     /** Records that the caller has the whole stream. */
     void onCompleted(routing::StreamKey stream);
 
-    /** Returns the origin of any stream of a route if there can only be one; empty otherwise. */
-    std::optional<routing::StreamOrigin> soleOrigin(const routing::Route &route) const;
+    /**
+     * Returns the origin of any stream of a route if there can only be one; empty otherwise.
+     *
+     * @param isConfirmed whether FleetState::confirmEndpoints() has just succeeded
+     */
+    std::optional<routing::StreamOrigin> soleOrigin(const routing::Route &route, bool isConfirmed) const;
     /** Looks an origin up, at other VMs if need be. @param onDone gets nothing if no VM that responds knows the stream
      */
     void find(routing::StreamKey stream, std::function<void(std::optional<routing::StreamOrigin>)> onDone);
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <netinet/in.h>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -175,8 +176,14 @@
         vm.settingsPath = base + ".toml";
         vm.logPath = base + ".log";
         std::ofstream(vm.settingsPath) << platform_standin::settingsText(
-            { vm.name, "a", vm.ip, callersPort, readinessPort, firstInternalPort, vm.storeAddress });
-        std::string program = LACEWING_GATEWAY_PROGRAM;
+            { vm.name,
+              std::string(1, char('a' + index % zoneCount_)),
+              vm.ip,
+              callersPort,
+              readinessPort,
+              firstInternalPort,
+              vm.storeAddress });
+        std::string program = program_.empty() ? LACEWING_GATEWAY_PROGRAM : program_;
         std::string flag = "--settings=" + vm.settingsPath;
         char *const arguments[] = { program.data(), flag.data(), nullptr };
         const std::string cutPath = cutFile(vm);
@@ -306,6 +313,22 @@
     kill(vms_[vm].process, number);
 }
 
+double Harness::processorSeconds(std::size_t vm) const
+{
+    std::ifstream file("/proc/" + std::to_string(vms_[vm].process) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    // The name of the program, in brackets, may contain spaces; user and system time are the 12th and 13th field after
+    // it.
+    std::istringstream fields(text.substr(text.rfind(')') + 1));
+    std::string field;
+    double ticks = 0;
+    for (int index = 1; fields >> field && index <= 13; ++index) {
+        ticks += index >= 12 ? std::stod(field) : 0;
+    }
+    return ticks / double(sysconf(_SC_CLK_TCK));
+}
+
 std::size_t Harness::peakMemory(std::size_t vm) const
 {
     constexpr std::string_view field = "VmHWM:";
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -49,6 +49,16 @@
     Harness(const Harness &) = delete;
     Harness &operator=(const Harness &) = delete;
 
+    /** Spreads the VMs that are started from now on over zones; they are in one zone otherwise. */
+    void setZones(std::size_t count)
+    {
+        zoneCount_ = count;
+    }
+    /** Sets the program of VMs that are started from now on. @param path of another version of the gateway */
+    void setProgram(const std::string &path)
+    {
+        program_ = path;
+    }
     platform_standin::Endpoint &addEndpoint(const std::string &id,
                                             const std::string &service,
                                             platform_standin::Endpoint::Behaviour behaviour,
@@ -104,6 +114,8 @@
     void signal(std::size_t vm, int number);
     /** Returns the largest amount of memory that the process of a VM has used so far, in bytes. */
     std::size_t peakMemory(std::size_t vm) const;
+    /** Returns the processor time that the process of a VM has used so far. */
+    double processorSeconds(std::size_t vm) const;
     /** Returns the value of a metric without labels of a VM. */
     double metric(std::size_t vm, const std::string &name);
     /** Returns whether the process of a VM has ended. */
@@ -135,6 +147,8 @@
     std::size_t countLogLines(const Vm &vm, const std::string &text) const;
 
     net::EventLoop loop_;
+    std::size_t zoneCount_ = 1;
+    std::string program_;
     std::string network_; ///< first three octets of the loopback addresses of this test
     std::unique_ptr<platform_standin::Store> store_;
     std::vector<std::unique_ptr<platform_standin::Endpoint>> endpoints_;
