--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -84,7 +84,7 @@
     , storeCheck_([this](CoalescedCheck::Outcome onDone) {
         store_.refresh(Topic::Endpoints, replicas_[Topic::Endpoints].end, std::move(onDone));
     })
-    , viewCheck_([this](CoalescedCheck::Outcome onDone) { startViewCheck(std::move(onDone)); })
+    , viewCheck_([this](const CoalescedCheck::Outcome &onDone) { startViewCheck(onDone); })
     , endpoints_(context.settings.reregistrationPeriod)
 {
 }
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -160,8 +160,8 @@
                      const std::vector<userplatform::StoreRecord> &records);
     void updateStoreReading();
     bool isStoreReader() const;
-    void startViewCheck(CoalescedCheck::Outcome onDone);
-    void checkView(int remainingChecks, CoalescedCheck::Outcome onDone);
+    void startViewCheck(const CoalescedCheck::Outcome &onDone);
+    void checkView(int remainingChecks, const CoalescedCheck::Outcome &onDone);
     void askReaders(CoalescedCheck::Outcome onDone);
     bool hasActiveReader() const;
     void expireEndpoints(Time now);
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -84,12 +84,12 @@
     viewCheck_.request(std::move(onDone));
 }
 
-void FleetState::startViewCheck(CoalescedCheck::Outcome onDone)
+void FleetState::startViewCheck(const CoalescedCheck::Outcome &onDone)
 {
-    checkView(maxViewChecks, std::move(onDone));
+    checkView(maxViewChecks, onDone);
 }
 
-void FleetState::checkView(int remainingChecks, CoalescedCheck::Outcome onDone)
+void FleetState::checkView(int remainingChecks, const CoalescedCheck::Outcome &onDone)
 {
     const auto onAnswered = [this, remainingChecks, onDone](bool isCurrent) {
         if (isCurrent || remainingChecks <= 1) {
