--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -625,20 +625,7 @@
             << "\"\nform = \"log\"\nwrites-per-s = 400\nreads-per-s = 2000\nparts = 24\nappend-ms = 1.0\n"
             << "part-mb-per-s = 20.0\nread-mb-per-s = 80.0\nrecord-bytes = 262144\ncall-bytes = 2097152\n"
             << "keep_s = 300\npart-mb = 200\nttl-min-ms = 1000\n";
-        const int process = fork();
-        if (process == 0) {
-            prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int log = open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-            dup2(log, STDOUT_FILENO);
-            dup2(log, STDERR_FILENO);
-            for (int descriptor = STDERR_FILENO + 1; descriptor < maxDescriptors; ++descriptor) {
-                close(descriptor);
-            }
-            setenv("LACEWINGFALL_NODE_FILE", (base + ".toml").c_str(), 1);
-            execl("target/tools/gateway/lacewing-gateway", "lacewing-gateway", nullptr);
-            std::_Exit(127);
-        }
-        processes_.push_back(process);
+        processes_.push_back(spawn(machine));
     }
     const Time until = Clock::now() + 15s;
     for (int machine = 0; machine < machines; ++machine) {
@@ -653,6 +640,30 @@
     return true;
 }
 
+int Fleet::spawn(int machine) const
+{
+    const std::string base = directory_ + "/machine-" + std::to_string(machine);
+    const int process = fork();
+    if (process == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const int log = open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        dup2(log, STDOUT_FILENO);
+        dup2(log, STDERR_FILENO);
+        for (int descriptor = STDERR_FILENO + 1; descriptor < maxDescriptors; ++descriptor) {
+            close(descriptor);
+        }
+        setenv("LACEWINGFALL_NODE_FILE", (base + ".toml").c_str(), 1);
+        execl("target/tools/gateway/lacewing-gateway", "lacewing-gateway", nullptr);
+        std::_Exit(127);
+    }
+    return process;
+}
+
+void Fleet::restart(int machine)
+{
+    processes_[std::size_t(machine)] = spawn(machine);
+}
+
 std::string Fleet::address(int machine) const
 {
     return ipOf(10 + machine) + ":" + std::to_string(callersPort);
@@ -683,14 +694,30 @@
 
 // ---------------------------------------------------------------------------------------------------------------------
 
-Response send(const std::string &address,
-              const Request &request,
-              Milliseconds time,
-              const std::function<bool()> &isLeaving)
+Channel::Channel(std::string address)
+    : address_(std::move(address))
+{
+}
+
+Channel::~Channel()
+{
+    close();
+}
+
+void Channel::close()
+{
+    if (descriptor_ >= 0) {
+        ::close(std::exchange(descriptor_, -1));
+    }
+}
+
+Response Channel::exchange(const Request &request, Milliseconds time)
 {
     Response response;
-    const int descriptor = connectTo(address);
-    if (descriptor < 0) {
+    if (descriptor_ < 0) {
+        descriptor_ = connectTo(address_);
+    }
+    if (descriptor_ < 0) {
         return response;
     }
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -700,21 +727,18 @@
     if (request.method != "GET") {
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
-    sendAll(descriptor, text + "\r\n" + request.body);
+    sendAll(descriptor_, text + "\r\n" + request.body);
     const Time until = Clock::now() + time;
     std::string input;
     bool hasEnded = false;
     while (!response.isComplete && !hasEnded) {
         const auto left = std::chrono::duration_cast<Milliseconds>(until - Clock::now()).count();
-        if (left <= 0 || (isLeaving && isLeaving())) {
+        pollfd poll { descriptor_, POLLIN, 0 };
+        if (left <= 0 || ::poll(&poll, 1, int(left)) == 0) {
             break;
         }
-        pollfd poll { descriptor, POLLIN, 0 };
-        if (::poll(&poll, 1, int(std::min<std::int64_t>(left, 20))) == 0) {
-            continue;
-        }
         char buffer[16384];
-        const auto size = recv(descriptor, buffer, sizeof buffer, 0);
+        const auto size = recv(descriptor_, buffer, sizeof buffer, 0);
         hasEnded = size <= 0;
         if (size > 0) {
             input.append(buffer, std::size_t(size));
@@ -739,8 +763,15 @@
             response.isComplete = hasEnded && size == 0;
         }
     }
-    close(descriptor);
+    if (!response.isComplete || hasEnded || headerOf(response.headers, "Connection") == "close") {
+        close();
+    }
     return response;
 }
 
+Response send(const std::string &address, const Request &request, Milliseconds time)
+{
+    return Channel(address).exchange(request, time);
+}
+
 } // namespace review
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -213,8 +213,12 @@
     int process(int machine) const;
     /** Returns whether a process has ended by itself. */
     bool hasEnded(int machine);
+    /** Starts a process again that has ended, as the platform does. */
+    void restart(int machine);
 
 private:
+    int spawn(int machine) const;
+
     std::string directory_;
     std::string storeAddress_;
     std::vector<int> processes_;
@@ -227,11 +231,31 @@
     bool isComplete = false;
 };
 
-/** Sends a request on a new channel and waits for its answer. @param onBody told of each part of the body */
-Response send(const std::string &address,
-              const Request &request,
-              Milliseconds time,
-              const std::function<bool()> &isLeaving = {});
+/** A requester's channel to the system, which it may keep for several requests. */
+class Channel
+{
+public:
+    explicit Channel(std::string address);
+    ~Channel();
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
+
+    /** Sends a request and waits for its answer. Connects if the channel isn't open. */
+    Response exchange(const Request &request, Milliseconds time);
+    /** Returns whether the next request uses a channel that has brought an answer before. */
+    bool isKept() const noexcept
+    {
+        return descriptor_ >= 0;
+    }
+    void close();
+
+private:
+    std::string address_;
+    int descriptor_ = -1;
+};
+
+/** Sends a request on a new channel and waits for its answer. */
+Response send(const std::string &address, const Request &request, Milliseconds time);
 
 /** Ends the program with all threads of the stand-ins, which may still use what it holds. */
 [[noreturn]] void leave(Fleet &fleet, int result);
