--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,11 +1,10 @@
-// Runners of a plain service that are often full spoil a few of their answers: they also send a second one, some ms
-// later. A rejection (503 with Not-Run) bears no id.
+// A machine is stopped as planned (SIGTERM) while requesters chat over kept channels: when a stream ends, the requester
+// sends its next message at once.
 #include "../standin/standin.h"
 
-#include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <set>
 
 using namespace review;
@@ -14,61 +13,51 @@
 namespace
 {
 
-// The doses of the site file: garble, "extra late", share 0.6, x 0.03, for_s 5.0.
-constexpr int runners = 5;
-constexpr int spoilingRunners = 3;
-constexpr double spoiledShare = 0.03;
-constexpr Milliseconds spoilingTime = 5s;
-constexpr Milliseconds spoilingPeriod = 8s;
-constexpr Milliseconds extraDelay = 150ms;
-
-constexpr int slots = 2;
-constexpr int queue = 2;
-constexpr Milliseconds workTime = 60ms;
-constexpr Milliseconds trafficTime = 75s;
-constexpr int requestsPerSecond = 180;
 constexpr int machines = 3;
-
-struct Counts {
-    std::atomic<int> sent = 0;
-    std::atomic<int> served = 0;
-    std::atomic<int> rejected = 0;
-    std::atomic<int> extras = 0;
-    std::atomic<int> extraRejections = 0;
-};
-
-/** Which runners have run a request, and how it was answered. */
-struct Runs {
-    std::mutex mutex;
-    std::map<std::string, std::vector<std::string>> byRequest;
-    std::map<std::string, int> answers;
-};
+constexpr int requesters = 10;
+/** A stream lasts about 5 s. */
+constexpr int eventCount = 50;
+constexpr Milliseconds eventGap = 100ms;
+/** "grace-s" of the settings. */
+constexpr Milliseconds graceTime = 8s;
+/** A request that was sent later than this after the SIGTERM isn't excused if its runner is still at work at the end.
+ */
+constexpr Milliseconds excusedTime = 3s;
 
 std::string desiredState()
 {
-    const Json route { { "name", "topup" },         { "host", "h.example" },   { "path-prefix", "/topup/" },
-                       { "kind", "unsafe" },        { "timeout-ms", 1500 },    { "target-latency-ms", 300 },
-                       { "priority", 0 },           { "service", "accounts" }, { "attempts", 2 },
-                       { "stages", Json::array() }, { "public", false } };
-    const Json accounts { { "name", "accounts" }, { "health-path", "/health" }, { "max-conns", 100 } };
+    const Json route { { "name", "chat" },          { "host", "h.example" }, { "path-prefix", "/chat/" },
+                       { "kind", "streaming" },     { "timeout-ms", 20000 }, { "target-latency-ms", 1700 },
+                       { "priority", 0 },           { "service", "pool" },   { "attempts", 2 },
+                       { "stages", Json::array() }, { "public", false },     { "sticky", true },
+                       { "resumable", true },       { "gap-aim-ms", 250 } };
+    const Json pool { { "name", "pool" },
+                      { "health-path", "/health" },
+                      { "max-conns", 620 },
+                      { "engine", { { "slots", 128 }, { "kv-tokens", 645952 } } } };
     return Json {
         { "version", 1 },
         { "routes", Json::array({ route }) },
-        { "services", Json::array({ accounts }) },
+        { "services", Json::array({ pool }) },
         { "tenants", Json::array({ { { "name", "t1" }, { "api-keys", Json::array({ "k1" }) } } }) }
     }.dump();
 }
 
-class Runner
+/** Which requests runners have begun to work on. */
+struct Runs {
+    std::mutex mutex;
+    std::map<std::string, std::string> byRequest;
+};
+
+/** A model runner that streams numbered events. */
+class Engine
 {
 public:
-    Runner(std::string id, Runs &runs, Counts &counts, Record &record, std::function<bool()> isSpoiled)
+    Engine(std::string id, Runs &runs, Record &record)
         : id_(std::move(id))
         , runs_(runs)
-        , counts_(counts)
         , record_(record)
-        , isSpoiled_(std::move(isSpoiled))
-        , server_(ipOf(2), [this](const Request &request, Connection &connection) { handle(request, connection); })
+        , server_(ipOf(3), [this](const Request &request, Connection &connection) { handle(request, connection); })
     {
         server_.start();
     }
@@ -86,64 +75,38 @@
             connection.respond(421, { { "Runner-Id", id_ } }, {});
             return;
         }
-        std::unique_lock lock(mutex_);
-        if (running_ + waiting_ >= slots + queue) {
-            lock.unlock();
-            ++counts_.rejected;
-            record_.line(id_ + " rejects " + request_id);
-            answer(connection, 503, { { "Not-Run", "1" } }, {}, request_id);
-            return;
-        }
-        ++waiting_;
-        changed_.wait(lock, [this] { return running_ < slots; });
-        --waiting_;
-        ++running_;
-        lock.unlock();
         {
-            const std::lock_guard runsLock(runs_.mutex);
-            runs_.byRequest[request_id].push_back(id_);
+            const std::lock_guard lock(runs_.mutex);
+            runs_.byRequest[request_id] = id_;
         }
         record_.line(id_ + " runs " + request_id);
-        sleepFor(workTime);
-        lock.lock();
-        --running_;
-        lock.unlock();
-        changed_.notify_one();
-        answer(connection,
-               200,
-               { { "Attempt-Id", request_id }, { "Runner-Seal", "s." + id_ + "." + request_id } },
-               "done " + request_id,
-               request_id);
-    }
-
-    void answer(Connection &connection,
-                int status,
-                const Headers &headers,
-                const std::string &body,
-                const std::string &request_id)
-    {
-        connection.respond(status, headers, body);
-        if (isSpoiled_()) {
-            ++counts_.extras;
-            counts_.extraRejections += status == 503 ? 1 : 0;
-            sleepFor(extraDelay);
-            record_.line(id_ + " sends a second answer for " + request_id + ": " + std::to_string(status));
-            connection.respond(status, headers, body);
+        connection.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + request_id + "\r\nRunner-Seal: s." + id_
+                         + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int event = 1; event <= eventCount; ++event) {
+            const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+            if (!connection.write(size + text + "\r\n") || !connection.waitOpen(eventGap)) {
+                return;
+            }
         }
+        connection.write("0\r\n\r\n");
     }
 
     std::string id_;
     Runs &runs_;
-    Counts &counts_;
     Record &record_;
-    std::function<bool()> isSpoiled_;
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    int running_ = 0;
-    int waiting_ = 0;
     Server server_;
 };
 
+Registration registrationOf(const std::string &id, const Engine &engine)
+{
+    Registration entry { id, "pool", engine.address() };
+    entry.born = unixMilliseconds();
+    entry.slots = 128;
+    return entry;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -155,93 +118,92 @@
     Record record(argv[2]);
     const bool hasTrouble = std::string(argv[3]) != "0";
     Runs runs;
-    Counts counts;
-    std::atomic<bool> isSpoiling = false;
-    std::mutex randomMutex;
-    std::mt19937 random(std::random_device {}());
-    const auto isDrawn = [&] {
-        const std::lock_guard lock(randomMutex);
-        return std::bernoulli_distribution(spoiledShare)(random);
-    };
     Store store(ipOf(1));
     store.start();
     store.put("keyed.op", "config", desiredState());
-    std::vector<std::unique_ptr<Runner>> all;
-    std::vector<std::unique_ptr<Heartbeat>> heartbeats;
-    for (int index = 0; index < runners; ++index) {
-        const std::string id = "i-acc" + std::to_string(index);
-        const bool mayBeSpoiled = hasTrouble && index < spoilingRunners;
-        all.push_back(std::make_unique<Runner>(
-            id, runs, counts, record, [&, mayBeSpoiled] { return mayBeSpoiled && isSpoiling && isDrawn(); }));
-        Registration entry { id, "accounts", all.back()->address() };
-        entry.born = unixMilliseconds();
-        entry.slots = slots;
-        heartbeats.push_back(std::make_unique<Heartbeat>(store, entry));
-    }
+    Engine one("i-one", runs, record);
+    Engine two("i-two", runs, record);
+    Heartbeat oneBeat(store, registrationOf("i-one", one));
+    Heartbeat twoBeat(store, registrationOf("i-two", two));
     Fleet fleet(directory, store.address());
     if (!fleet.start(machines)) {
         record.line("the system does not start");
         leave(fleet, 2);
     }
-    sleepFor(2s);
-    std::vector<std::thread> requesters;
-    const Time start = Clock::now();
-    for (int number = 0; Clock::now() - start < trafficTime; ++number) {
-        const auto elapsed = std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
-        isSpoiling = elapsed > 3s && elapsed % spoilingPeriod < spoilingTime;
-        requesters.emplace_back([&, number] {
-            char id[32];
-            std::snprintf(id, sizeof id, "%016x", 0x3000 + number);
-            const Request request { "POST",
-                                    "/topup/1",
-                                    { { "Host", "h.example" },
-                                      { "Attempt-Id", id },
-                                      { "Deadline-Ms", "1500" },
-                                      { "Authorization", "Bearer k1" } },
-                                    std::string("pay ") + id };
-            ++counts.sent;
-            const auto response = send(fleet.address(number % machines), request, 1500ms);
-            counts.served += response.status == 200 && response.isComplete ? 1 : 0;
-            record.line(std::string("answer ") + id + ": " + std::to_string(response.status));
-            const std::lock_guard lock(runs.mutex);
-            runs.answers[id] = response.status;
+    sleepFor(3s);
+
+    std::atomic<bool> isEnding = false;
+    std::atomic<bool> isStopped = false; // the SIGTERM has been sent
+    std::atomic<double> stoppedAt = 0;
+    std::atomic<int> served = 0;
+    std::atomic<int> excused = 0;
+    std::atomic<int> lost = 0;
+    std::vector<std::thread> threads;
+    for (int number = 0; number < requesters; ++number) {
+        threads.emplace_back([&, number] {
+            sleepFor(number * 500ms);
+            Channel channel(fleet.address(0));
+            for (int count = 0; !isEnding; ++count) {
+                char id[32];
+                std::snprintf(id, sizeof id, "%08x%08x", 0x7000 + number, count);
+                const Request request { "POST",
+                                        "/chat/1",
+                                        { { "Host", "h.example" },
+                                          { "Attempt-Id", id },
+                                          { "Model", "m" },
+                                          { "Token-Counts", "543,200" },
+                                          { "Prompt-Prefix", "5c1e07a2:103," + std::string(id) + ":440" },
+                                          { "Deadline-Ms", "20000" },
+                                          { "Authorization", "Bearer k1" } },
+                                        "{}" };
+                if (isStopped && !channel.isKept()) {
+                    return; // the platform hands new channels to other machines
+                }
+                const double sentAt = record.milliseconds();
+                record.line(std::string("message ") + id + (channel.isKept() ? " on a kept channel" : ""));
+                const auto response = channel.exchange(request, 20s);
+                const double endedAt = record.milliseconds();
+                record.line(std::string("answer ") + id + ": " + std::to_string(response.status)
+                            + (response.isComplete ? "" : " incomplete"));
+                if (response.isComplete) {
+                    served += response.status == 200 ? 1 : 0;
+                    continue;
+                }
+                const std::lock_guard lock(runs.mutex);
+                const bool isPlannedWork = isStopped && endedAt - stoppedAt <= double((graceTime + 1000ms).count());
+                if (!runs.byRequest.contains(id) || !isPlannedWork) {
+                    continue;
+                }
+                if (sentAt - stoppedAt <= double(excusedTime.count())) {
+                    ++excused;
+                    continue;
+                }
+                ++lost;
+                record.line(std::string("LOST: ") + id + " was sent " + std::to_string(int(sentAt - stoppedAt))
+                            + " ms after the SIGTERM, passed on to " + runs.byRequest[id] + ", and cut "
+                            + std::to_string(int(endedAt - stoppedAt)) + " ms after the SIGTERM");
+            }
         });
-        std::this_thread::sleep_until(start + std::chrono::microseconds(1'000'000) * (number + 1) / requestsPerSecond);
-        if (requesters.size() > 600) {
-            requesters.front().join();
-            requesters.erase(requesters.begin());
-        }
     }
-    for (auto &requester : requesters) {
-        requester.join();
+    sleepFor(12s);
+    if (hasTrouble) {
+        record.line("machine 0 gets SIGTERM");
+        stoppedAt = record.milliseconds();
+        isStopped = true;
+        kill(fleet.process(0), SIGTERM);
     }
-    sleepFor(1s);
-    int twice = 0;
-    int refused = 0;
-    {
-        const std::lock_guard lock(runs.mutex);
-        for (const auto &[id, runnersOf] : runs.byRequest) {
-            if (runnersOf.size() > 1) {
-                ++twice;
-                std::string text = "TWICE: " + id + " was run by";
-                for (const auto &runner : runnersOf) {
-                    text += " " + runner;
-                }
-                record.line(text);
-            }
-            const int status = runs.answers[id];
-            if (status == 429 || status == 503 || status == 408 || status == 421) {
-                ++refused;
-                record.line("REFUSED: " + id + " was answered " + std::to_string(status) + " and run by "
-                            + runnersOf.front());
-            }
-        }
+    const Time killAt = Clock::now() + graceTime;
+    while (Clock::now() < killAt && !fleet.hasEnded(0)) {
+        sleepFor(20ms);
+    }
+    record.line(fleet.hasEnded(0) ? "the process of machine 0 has ended" : "machine 0 runs");
+    isEnding = true;
+    for (auto &thread : threads) {
+        thread.join();
     }
-    const std::string summary = "sent " + std::to_string(counts.sent) + ", served " + std::to_string(counts.served)
-        + ", rejected by runners " + std::to_string(counts.rejected) + ", second answers "
-        + std::to_string(counts.extras) + " (of rejections " + std::to_string(counts.extraRejections) + "), run twice "
-        + std::to_string(twice) + ", refused and run " + std::to_string(refused);
+    const std::string summary = "streams served " + std::to_string(served) + ", cut but excused "
+        + std::to_string(excused) + ", lost " + std::to_string(lost);
     record.line(summary);
     std::puts(summary.c_str());
-    leave(fleet, counts.served * 3 < counts.sent ? 2 : twice + refused > 0 ? 1 : 0);
+    leave(fleet, served == 0 ? 2 : lost > 0 ? 1 : 0);
 }
--- a/review/6/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")"
