--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -86,6 +86,15 @@
 platform_standin::RawEndpoint &Harness::addRawEndpoint(const std::string &id,
                                                        const std::string &service,
                                                        platform_standin::RawEndpoint::Script script)
+{
+    return addRawEndpoint(id, service, [script = std::move(script)](const net::HttpRequest &request) {
+        return script(std::string(request.header("Attempt-Id").value_or("")));
+    });
+}
+
+platform_standin::RawEndpoint &Harness::addRawEndpoint(const std::string &id,
+                                                       const std::string &service,
+                                                       platform_standin::RawEndpoint::RequestScript script)
 {
     const platform_standin::Endpoint::Identity identity { id, service, "a" };
     rawEndpoints_.push_back(
@@ -182,7 +191,8 @@
               callersPort,
               readinessPort,
               firstInternalPort,
-              vm.storeAddress });
+              vm.storeAddress,
+              stopGraceSeconds_ });
         std::string program = program_.empty() ? LACEWING_GATEWAY_PROGRAM : program_;
         std::string flag = "--settings=" + vm.settingsPath;
         char *const arguments[] = { program.data(), flag.data(), nullptr };
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -59,6 +59,11 @@
     {
         program_ = path;
     }
+    /** Sets the time from a stop signal until the platform kills VMs that are started from now on. */
+    void setStopGrace(int seconds)
+    {
+        stopGraceSeconds_ = seconds;
+    }
     platform_standin::Endpoint &addEndpoint(const std::string &id,
                                             const std::string &service,
                                             platform_standin::Endpoint::Behaviour behaviour,
@@ -66,6 +71,9 @@
     platform_standin::RawEndpoint &addRawEndpoint(const std::string &id,
                                                   const std::string &service,
                                                   platform_standin::RawEndpoint::Script script);
+    platform_standin::RawEndpoint &addRawEndpoint(const std::string &id,
+                                                  const std::string &service,
+                                                  platform_standin::RawEndpoint::RequestScript script);
     /** Lets cutOff() work for the VMs that are started from now on. */
     void enableCuts();
     /** Cuts a VM off from some endpoints, or ends that. @param endpoints their ids; empty: all */
@@ -148,6 +156,7 @@
 
     net::EventLoop loop_;
     std::size_t zoneCount_ = 1;
+    int stopGraceSeconds_ = platform_standin::VmSpec().stopGraceSeconds;
     std::string program_;
     std::string network_; ///< first three octets of the loopback addresses of this test
     std::unique_ptr<platform_standin::Store> store_;
