--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -291,11 +291,12 @@
     /** The address listened on, with the port that the kernel chose. */
     SocketAddress address() const;
 
-    /** Closes the listener; connections go on. */
+    /** Accepts the connections that wait in the listener's queue and closes the listener; connections go on. */
     void stopAccepting();
     /**
-     * Closes each connection once it has no request running; responses not yet begun carry "Connection: close". No
-     * response is cut. New connections are still served, one request each, until stopAccepting().
+     * Closes each connection once it has no request running; responses not yet begun carry "Connection: close", unless
+     * another request has already arrived on the connection. No response is cut. New connections are still served until
+     * stopAccepting().
      *
      * @param whenNone called once no connection is left and the listener is closed
      */
--- a/libs/net/src/response_writer.cpp
+++ b/libs/net/src/response_writer.cpp
@@ -45,7 +45,7 @@
     }
     phase_ = Phase::Complete;
     const bool isUntilClose = framing == BodyFraming::UntilClose;
-    const bool keepAlive = keepAlive_ && !isUntilClose && !connection->isDraining();
+    const bool keepAlive = keepAlive_ && !isUntilClose && connection->mayKeepAlive();
     ResponseFraming headFraming { version_, keepAlive, false, body.size() };
     if (hasNoBody(status) || isUntilClose) {
         headFraming.contentLength.reset();
@@ -69,7 +69,7 @@
     }
     phase_ = Phase::Streaming;
     chunked_ = framing != BodyFraming::UntilClose && version_ >= firstVersionWithChunks;
-    keepAlive_ = keepAlive_ && chunked_ && !connection->isDraining();
+    keepAlive_ = keepAlive_ && chunked_ && connection->mayKeepAlive();
     if (!chunked_) {
         connection->resetUnlessComplete();
     }
--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -74,8 +74,8 @@
 
     void stopAccepting()
     {
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        acceptQueued();
+        closeListener();
         checkNoneLeft();
     }
 
@@ -91,10 +91,11 @@
 
     void closeAll()
     {
-        stopAccepting();
+        closeListener();
         for (const auto &connection : snapshot()) {
             connection->close();
         }
+        checkNoneLeft();
     }
 
     /** Ends all callbacks; the loop may still hold operations of closed sockets. */
@@ -139,6 +140,26 @@
         });
     }
 
+    void closeListener()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    }
+
+    /** Accepts the connections in the listener's queue, which the kernel resets when the listener closes. */
+    void acceptQueued()
+    {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(loop_.ioContext());
+            acceptor_.accept(socket, error);
+            if (!error) {
+                take(std::move(socket));
+            }
+        }
+    }
+
     void acceptDone(const boost::system::error_code &error, tcp::socket socket)
     {
         if (!acceptor_.is_open()) {
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -135,9 +135,10 @@
     return phase_ == Phase::Responding;
 }
 
-bool ServerConnection::isDraining() const noexcept
+bool ServerConnection::mayKeepAlive() const noexcept
 {
-    return shared_->draining;
+    // A pipelined request has been read from the socket, so its caller could not tell that it was not processed.
+    return !shared_->draining || input_.size() > 0;
 }
 
 std::size_t ServerConnection::pendingBytes() const noexcept
--- a/libs/net/src/server_connection.h
+++ b/libs/net/src/server_connection.h
@@ -22,7 +22,7 @@
     HttpServerOptions options;
     RequestHandler handler;
     HttpServerCounters counters;
-    bool draining = false; ///< each connection ends after its request
+    bool draining = false; ///< each connection ends after the requests that it has already received
     std::function<void(ServerConnection &)> onGone; ///< a connection has closed
 };
 
@@ -83,7 +83,8 @@
 
     /** Whether a response would still reach anyone. */
     bool isOpen() const noexcept;
-    bool isDraining() const noexcept;
+    /** Whether the connection may serve another request after the one at hand. */
+    bool mayKeepAlive() const noexcept;
     std::size_t pendingBytes() const noexcept;
     std::size_t maxPendingBytes() const noexcept;
     /** Queues bytes of the response. */
--- a/libs/net/tests/server_test.cpp
+++ b/libs/net/tests/server_test.cpp
@@ -304,6 +304,43 @@
     cr_assert_eq(fixture->server.counters().open, 0);
 }
 
+/** A request that had arrived behind another one was dropped when the server began to drain (issue 44). */
+Test(server, pipelinedRequestIsAnsweredWhileDraining)
+{
+    std::unique_ptr<HttpFixture> fixture;
+    fixture = std::make_unique<HttpFixture>([&](const HttpRequest &request, ResponseWriter writer) {
+        fixture->server.closeBetweenRequests([] {});
+        writer.respond(status::ok, {}, request.target);
+    });
+    const std::string answers = fixture->exchange("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    const auto close = answers.find("Connection: close");
+    cr_assert_neq(answers.find("/1HTTP/1.1 200"), std::string::npos, "%s", answers.c_str());
+    cr_assert(answers.ends_with("/2"), "%s", answers.c_str());
+    cr_assert_gt(close, answers.find("/1HTTP/1.1"), "announced with the last answer only");
+}
+
+/** Connections that waited to be accepted were reset when the listener closed (issue 44). */
+Test(server, queuedConnectionsAreServedWhenTheListenerCloses)
+{
+    constexpr std::size_t connections = 20;
+    HttpFixture fixture(
+        [](const HttpRequest &request, ResponseWriter writer) { writer.respond(status::ok, {}, request.target); });
+    std::vector<raw::Socket> queued;
+    for (std::size_t index = 0; index < connections; ++index) {
+        queued.push_back(raw::connectTo(fixture.server.address().port));
+        queued.back().send("GET /queued HTTP/1.1\r\n\r\n");
+    }
+    fixture.server.closeBetweenRequests([] {});
+    fixture.server.stopAccepting();
+    std::size_t answered = 0;
+    fixture.runBeside([&] {
+        for (const auto &socket : queued) {
+            answered += socket.read().ends_with("/queued") ? 1 : 0;
+        }
+    });
+    cr_assert_eq(answered, connections, "%zu", answered);
+}
+
 ParameterizedTestParameters(server, cutResponseNeverLooksWhole)
 {
     return cr_make_param_array(EndCase, endCases, std::size(endCases));
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -14,8 +14,6 @@
 /** Time for which new connections are accepted after a stop signal: the platform checks readiness once per second, and
  * removes a VM after two failed checks. */
 constexpr Duration drainNoticeTime = 2500ms;
-/** The process ends this long before the platform kills it. */
-constexpr Duration stopMargin = 300ms;
 constexpr Duration stopCheckInterval = 50ms;
 constexpr Duration housekeepingInterval = 5s;
 /** Offset of the metrics port from the port for links between VMs. */
@@ -118,6 +116,8 @@
         streamOrigins_.expire(now);
         relayPeers_.expire(now);
         shared_.rejectionHistory.expire(now);
+        shared_.completionTimes.expire(now);
+        shared_.dispatchTimes.expire(now);
     });
     context_.loop.run();
     return 0;
@@ -141,30 +141,42 @@
 
 void Gateway::startShutdown()
 {
-    if (stopRequestedAt_) {
+    if (shared_.stopSchedule) {
         return;
     }
-    stopRequestedAt_ = context_.now();
+    shared_.stopSchedule.emplace(context_.now(), context_.settings.stopGracePeriod);
     context_.logger.state("stopping",
                           { { "vm", context_.settings.vm }, { "active_requests", shared_.activeRequests.size() } });
     links_.leave();
     relayService_.stop();
     state_.deregister([] {});
     callerServer_.closeBetweenRequests([] {});
-    context_.loop.timers().every(
-        context_.now() + stopCheckInterval, stopCheckInterval, [this](Time) { finishShutdownWhenIdle(); });
+    context_.loop.timers().every(context_.now() + stopCheckInterval, stopCheckInterval, [this](Time) {
+        endOverdueRequests();
+        finishShutdownWhenIdle();
+    });
+}
+
+/** Ends requests that can't be completed before the process stops, while they can still be answered. */
+void Gateway::endOverdueRequests()
+{
+    const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
+                                                                shared_.activeRequests.end());
+    for (const auto &request : requests) {
+        request->handleStopProgress();
+    }
 }
 
 void Gateway::finishShutdownWhenIdle()
 {
-    const Duration elapsed = context_.now() - *stopRequestedAt_;
-    if (!isClosing_ && elapsed >= drainNoticeTime) {
-        isClosing_ = true;
+    const Duration elapsed = context_.now() - shared_.stopSchedule->requestedAt();
+    if (!isListenerClosed_ && elapsed >= drainNoticeTime) {
+        isListenerClosed_ = true;
         callerServer_.stopAccepting();
     }
-    const bool isIdle = isClosing_ && shared_.activeRequests.empty() && pieces_.pending() == 0
+    const bool isIdle = isListenerClosed_ && shared_.activeRequests.empty() && pieces_.pending() == 0
         && relayService_.pending() == 0 && callerServer_.counters().open == 0;
-    if (isIdle || elapsed >= context_.settings.stopGracePeriod - stopMargin) {
+    if (isIdle || context_.now() >= shared_.stopSchedule->endsAt()) {
         context_.logger.state("stopped",
                               { { "vm", context_.settings.vm },
                                 { "active_requests", shared_.activeRequests.size() },
@@ -201,7 +213,7 @@
         writer.respond(net::status::notFound, {}, {});
         return;
     }
-    const bool isReady = state_.isLoaded() && !state_.isOverdue() && !stopRequestedAt_;
+    const bool isReady = state_.isLoaded() && !state_.isOverdue() && !shared_.stopSchedule;
     writer.respond(isReady ? net::status::ok : net::status::unavailable, {}, {});
 }
 
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -30,6 +30,7 @@
 private:
     void waitForSignal();
     void startShutdown();
+    void endOverdueRequests();
     void finishShutdownWhenIdle();
     void updateMetrics();
     void handleReadinessCheck(const net::HttpRequest &request, net::ResponseWriter writer);
@@ -61,8 +62,7 @@
     net::HttpServer callerServer_;
     net::HttpServer readinessServer_;
     net::HttpServer metricsServer_;
-    std::optional<Time> stopRequestedAt_; ///< arrival of the stop signal
-    bool isClosing_ = false;
+    bool isListenerClosed_ = false; ///< of the callers' server, during a stop
     bool isReadyLogged_ = false;
 };
 
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -36,6 +36,9 @@
     if (rejectIfQuarantined()) {
         return; // it was quarantined during its stages or its previous attempt
     }
+    if (rejectIfStopping(shared_.dispatchTimes)) {
+        return;
+    }
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
     if (shared_.reachability.isUnreachable(service_)
@@ -298,6 +301,7 @@
         } else {
             reportConnectionEnd(true);
         }
+        recordCompletionTime();
         writer_.respond(head.status, userplatform::forwardableHeaders(head), bufferedBody_, framing);
         finish(head.status, "answered");
         return;
@@ -345,6 +349,7 @@
     if (ownStream_ && head.framing != net::BodyFraming::UntilClose) {
         shared_.streamOrigins.onCompleted(*ownStream_);
     }
+    recordCompletionTime();
     writer_.end();
     finish(head.status, "streamed");
 }
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -14,6 +14,7 @@
 
 #include <dispatch/dispatch.h>
 #include <routing/routing.h>
+#include <shutdown/shutdown.h>
 
 #include <memory>
 #include <set>
@@ -67,6 +68,9 @@
     std::set<std::shared_ptr<RequestHandler>> activeRequests;
     dispatch::FleetSizeEstimate fleetSize;
     ByteBudget bufferedBytes { maxTotalBufferedBytes }; ///< of responses that are not streamed
+    shutdown::CompletionTimes completionTimes; ///< of requests, from their arrival
+    shutdown::CompletionTimes dispatchTimes; ///< of requests, from the end of their stages
+    std::optional<shutdown::StopSchedule> stopSchedule; ///< set once the process has to stop
 
     /** Returns among how many VMs a limit of the whole fleet is divided. */
     std::size_t vmCount();
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -61,6 +61,9 @@
 
 void RequestHandler::run()
 {
+    if (rejectIfStopping(shared_.completionTimes)) {
+        return;
+    }
     shared_.retryBudget(service_).recordRequest(now());
     placement_.emplace(shared_, facts_, service_);
     if (origin_ && !placement_->canResume(*origin_)) {
@@ -238,6 +241,60 @@
     return false;
 }
 
+/**
+ * Rejects a request that would not complete before the process stops, so that another VM serves it. A request of which
+ * an endpoint has begun to answer is left to its endpoint.
+ *
+ * @param times of what remains to be done
+ */
+bool RequestHandler::rejectIfStopping(const shutdown::CompletionTimes &times)
+{
+    if (!shared_.stopSchedule || isHeadForwarded_) {
+        return false;
+    }
+    const auto recent = times.estimate(route_->id, facts_.maxOutputTokens, now());
+    const Duration estimate = recent.value_or(shutdown::defaultEstimate(route_->latencyTarget, facts_.maxOutputTokens));
+    if (shared_.stopSchedule->canComplete(estimate, deadline_, now())) {
+        return false;
+    }
+    shared_.decisionLog.write("request outlasts stop",
+                              { { "request", facts_.id },
+                                { "route", route_->id },
+                                { "estimate_ms", toMilliseconds(estimate) },
+                                { "is_estimate_measured", recent.has_value() },
+                                { "deadline_ms", toMilliseconds(deadline_ - now()) },
+                                { "left_ms", toMilliseconds(shared_.stopSchedule->answersDueAt() - now()) },
+                                { "may_have_run", mayHaveRun_ } },
+                              now());
+    rejectOrFail("vm stops", otherVmRetryAfter);
+    return true;
+}
+
+void RequestHandler::handleStopProgress()
+{
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    if (now() >= shared_.stopSchedule->answersDueAt()) {
+        const bool mayBeRunning = mayHaveRun_ || phase_ == Phase::AwaitingHead || phase_ == Phase::Streaming;
+        if (mayBeRunning) {
+            fail(net::status::gatewayTimeout, "vm stops");
+        } else {
+            reject(net::status::unavailable, "vm stops", otherVmRetryAfter);
+        }
+    } else if (phase_ == Phase::RunningStages) {
+        rejectIfStopping(shared_.dispatchTimes);
+    }
+}
+
+/** Records how long the request took, for the decision whether others like it complete before the process stops. */
+void RequestHandler::recordCompletionTime()
+{
+    shared_.completionTimes.record(route_->id, facts_.maxOutputTokens, now() - request_.receivedAt, now());
+    const Time dispatchedAt = stagesCompletedAt_.value_or(request_.receivedAt);
+    shared_.dispatchTimes.record(route_->id, facts_.maxOutputTokens, now() - dispatchedAt, now());
+}
+
 void RequestHandler::handleQuarantineChange()
 {
     if (phase_ == Phase::RunningStages && shared_.poisonPrompts.isQuarantined(sharedParts_)) {
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -24,10 +24,14 @@
     void handleQuarantineChange();
     /** Called when this VM reaches other services than before. */
     void handleReachabilityChange();
+    /** Called repeatedly once the process has to stop: ends a request that can't be completed any more. */
+    void handleStopProgress();
 
 private:
     /** Retry-after of requests that are rejected, unless an endpoint has said when it wants requests again. */
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(400);
+    /** Retry-after of requests that another VM can serve at once. */
+    static constexpr Duration otherVmRetryAfter = std::chrono::milliseconds(100);
 
     enum class Phase : std::uint8_t {
         New,
@@ -51,6 +55,8 @@
     void resumeFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source);
     void run();
     bool rejectIfQuarantined();
+    bool rejectIfStopping(const shutdown::CompletionTimes &times);
+    void recordCompletionTime();
     void rejectStages(const stages::AdmissionDecision &decision);
 
     // Stages
