--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -328,7 +328,7 @@
     bool connectOnly = false; ///< sends nothing: sets up a fresh connection, which is pooled, and ends
     /**
      * A header that the server repeats in its response. A response with another value belongs to an earlier request of
-     * the connection and is passed over; one without the header is taken.
+     * the connection and is passed over; one without the header is taken. See HttpClientOptions::reuseOnlyAfterEcho().
      */
     std::optional<Header> echo;
 };
@@ -401,6 +401,12 @@
     HttpClientOptions &maxBodyBytes(std::size_t bytes);
     /** Headers sent with every request. */
     HttpClientOptions &defaultHeaders(Headers headers);
+    /**
+     * Whether a connection is used again only after a response that repeated HttpCall::echo. For servers that may send
+     * a response twice: without the header the second one can't be told from the response to the next call. Default
+     * false.
+     */
+    HttpClientOptions &reuseOnlyAfterEcho(bool isRequired);
 
     std::size_t maxPerAddress() const noexcept
     {
@@ -430,6 +436,10 @@
     {
         return defaultHeaders_;
     }
+    bool reuseOnlyAfterEcho() const noexcept
+    {
+        return reuseOnlyAfterEcho_;
+    }
 
 private:
     std::size_t maxPerAddress_ = 256;
@@ -439,6 +449,7 @@
     std::size_t maxHeaderBytes_ = std::size_t(16) << 10U;
     std::size_t maxBodyBytes_ = std::size_t(64) << 20U;
     Headers defaultHeaders_;
+    bool reuseOnlyAfterEcho_ = false;
 };
 
 /** Counts of an HttpClient since its start. */
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -114,6 +114,7 @@
     bool deliver();
     void finish();
     bool answersAnother() const;
+    bool hasEcho() const;
     void noteKeepAlive();
     void fail(ErrorKind kind, std::string detail);
 
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -265,4 +265,10 @@
     return *this;
 }
 
+HttpClientOptions &HttpClientOptions::reuseOnlyAfterEcho(bool isRequired)
+{
+    reuseOnlyAfterEcho_ = isRequired;
+    return *this;
+}
+
 } // namespace lacewing::net
--- a/libs/net/tests/client_test.cpp
+++ b/libs/net/tests/client_test.cpp
@@ -121,6 +121,55 @@
     cr_assert_eq(fixture.client.counters().reused, 2);
 }
 
+namespace
+{
+
+struct EchoReuseCase {
+    char name[32];
+    char responseHeader[32];
+    bool isEchoRequired;
+    bool isReused;
+};
+
+EchoReuseCase echoReuseCases[] = {
+    { "echo", "X-Id: 7\r\n", true, true },
+    { "no echo", "", true, false },
+    { "no echo, not required", "", false, true },
+    { "echo, not required", "X-Id: 7\r\n", false, true },
+};
+
+} // namespace
+
+/** A second copy of a response without an id was taken for the response to the next call (issue 44). */
+ParameterizedTestParameters(client, connectionsAreReusedAfterAnEchoOnly)
+{
+    return cr_make_param_array(EchoReuseCase, echoReuseCases, std::size(echoReuseCases));
+}
+
+ParameterizedTest(EchoReuseCase *test, client, connectionsAreReusedAfterAnEchoOnly)
+{
+    std::atomic<int> connections = 0;
+    const raw::Server server([&](const raw::Socket &socket, int) {
+        ++connections;
+        const std::string response =
+            std::string("HTTP/1.1 503 Full\r\n") + test->responseHeader + "Content-Length: 0\r\n\r\n";
+        while (!socket.read("\r\n\r\n").empty() && socket.send(response)) { }
+    });
+    EventLoop loop;
+    HttpClient client(loop, HttpClientOptions().reuseOnlyAfterEcho(test->isEchoRequired));
+    for (int number = 0; number < 2; ++number) {
+        HttpCall call;
+        call.address = server.address();
+        call.echo = Header { "X-Id", "7" };
+        fetch(client, std::move(call), longLimits(), [&](const HttpEnd &end, const HttpResponse &) {
+            cr_assert(!end.error);
+            loop.stop();
+        });
+        loop.run();
+    }
+    cr_assert_eq(connections, test->isReused ? 1 : 2, "%s", test->name);
+}
+
 Test(client, totalLimitEndsASlowResponse)
 {
     std::vector<raw::Socket> kept;
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -58,7 +58,8 @@
              net::HttpClientOptions()
                  .maxPerAddress(maxConnectionsPerEndpoint)
                  .keepIdle(idleTimeout)
-                 .maxBodyBytes(maxResponseBytes))
+                 .maxBodyBytes(maxResponseBytes)
+                 .reuseOnlyAfterEcho(true))
     , callCounter(context.metrics.counter({ "piece_calls", "Calls to endpoints of stages" }))
     , pieceCounter(context.metrics.counter({ "pieces", "Pieces in calls to endpoints of stages" }))
     , fullnessHistogram(context.metrics.histogram(
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -40,7 +40,8 @@
     return net::HttpClientOptions()
         .maxPerAddress(maxConnectionsPerEndpoint)
         .maxConnections(std::max<std::size_t>(descriptors, reservedLinkDescriptors) - reservedLinkDescriptors / 2)
-        .keepIdle(8s);
+        .keepIdle(8s)
+        .reuseOnlyAfterEcho(true);
 }
 
 } // namespace
--- /dev/null
+++ b/tools/gateway/tests/extra_answer_test.cpp
@@ -0,0 +1,193 @@
+#include "requests.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace lacewing;
+using namespace lacewing::gateway_test;
+using namespace lacewing::platform_standin;
+
+/** Endpoints that send an answer twice on a connection that is used again. */
+namespace
+{
+
+constexpr int requestCount = 40;
+/** One answer of so many is sent twice. */
+constexpr int repeatInterval = 3;
+
+/** When the second copy arrives. */
+enum class Arrival : std::uint8_t { AtOnce, Later, WithNextRequest };
+
+std::string emptyAnswer(const std::string &statusLine, const std::string &headers)
+{
+    return "HTTP/1.1 " + statusLine + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
+}
+
+std::string fullAnswer(const std::string &headers, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+RawEndpoint::Answer repeated(const std::string &text, Arrival arrival)
+{
+    constexpr Duration laterDelay = 15ms;
+    RawEndpoint::Answer answer { { text } };
+    switch (arrival) {
+    case Arrival::AtOnce:
+        answer.extra = text;
+        break;
+    case Arrival::Later:
+        answer.extra = text;
+        answer.extraDelay = laterDelay;
+        break;
+    case Arrival::WithNextRequest:
+        answer.extraBeforeNext = text;
+        break;
+    }
+    return answer;
+}
+
+struct RejectionCase {
+    char name[60];
+    char service[10];
+    char target[16];
+    char statusLine[30];
+    char headers[50];
+    Arrival arrival;
+};
+
+RejectionCase rejectionCases[] = {
+    { "unsafe, full, at once", "plain", "/unsafe/x", "503 Full", "Not-Run: 1\r\n", Arrival::AtOnce },
+    { "unsafe, full, later", "plain", "/unsafe/x", "503 Full", "Not-Run: 1\r\n", Arrival::Later },
+    { "unsafe, full, next", "plain", "/unsafe/x", "503 Full", "Not-Run: 1\r\n", Arrival::WithNextRequest },
+    { "unsafe, many, next", "plain", "/unsafe/x", "429 Many", "Not-Run: 1\r\n", Arrival::WithNextRequest },
+    { "unsafe, bad, next", "plain", "/unsafe/x", "400 Bad", "Not-Run: 1\r\n", Arrival::WithNextRequest },
+    { "stream, full, next", "engine", "/stream/x", "503 Full", "Not-Run: 1\r\n", Arrival::WithNextRequest },
+    { "stream, full, later", "engine", "/stream/x", "503 Full", "Not-Run: 1\r\n", Arrival::Later },
+    { "unsafe, id of another request, next",
+      "plain",
+      "/unsafe/x",
+      "503 Full",
+      "Not-Run: 1\r\nAttempt-Id: other\r\n",
+      Arrival::WithNextRequest },
+};
+
+bool promisesNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+} // namespace
+
+/** A second copy of a rejection was taken for the answer to the next request, which then ran twice (issue 44). */
+ParameterizedTestParameters(extraAnswer, repeatedRejectionIsNotTakenForTheNextAnswer)
+{
+    return cr_make_param_array(RejectionCase, rejectionCases, std::size(rejectionCases));
+}
+
+ParameterizedTest(RejectionCase *test, extraAnswer, repeatedRejectionIsNotTakenForTheNextAnswer)
+{
+    Harness harness(1);
+    std::map<std::string, int> executions;
+    int arrivals = 0;
+    const bool hasId = std::string_view(test->headers).find("Attempt-Id") != std::string_view::npos;
+    for (const char *name : { "e1", "e2" }) {
+        const std::string id = name;
+        harness.addRawEndpoint(id, test->service, [&, id](const std::string &request) {
+            if (++arrivals % repeatInterval == 0) {
+                const std::string rejection = emptyAnswer(test->statusLine, test->headers);
+                // An answer with the id of another request is no answer to this one, which follows it.
+                if (!hasId) {
+                    return repeated(rejection, test->arrival);
+                }
+                ++executions[request];
+                const std::string answer = fullAnswer(receiptHeaders(id, request), "id: 1\ndata: x\n\n");
+                RawEndpoint::Answer both { { answer } };
+                both.extraBeforeNext = rejection;
+                return both;
+            }
+            ++executions[request];
+            return RawEndpoint::Answer { { fullAnswer(receiptHeaders(id, request), "id: 1\ndata: x\n\n") } };
+        });
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    std::map<std::string, int> statuses;
+    for (int number = 1; number <= requestCount; ++number) {
+        const std::string id = std::to_string(number);
+        statuses[id] = harness.sendAndWait(0, "POST", test->target, headers(id), "b" + id).status;
+    }
+    int served = 0;
+    for (const auto &[id, status] : statuses) {
+        cr_assert_leq(executions[id], 1, "%s: request %s ran %d times", test->name, id.c_str(), executions[id]);
+        cr_assert(!promisesNotRun(status) || executions[id] == 0, "%s: %s ran", test->name, id.c_str());
+        served += status == 200 ? 1 : 0;
+    }
+    cr_assert_gt(served, requestCount / 2, "%s: %d", test->name, served);
+}
+
+struct PiecesCase {
+    char name[40];
+    Arrival arrival;
+    bool hasHandles; ///< whether the answer that is sent twice holds results
+};
+
+PiecesCase piecesCases[] = {
+    { "results, at once", Arrival::AtOnce, true },
+    { "results, later", Arrival::Later, true },
+    { "results, with the next call", Arrival::WithNextRequest, true },
+    { "rejection, with the next call", Arrival::WithNextRequest, false },
+    { "rejection, later", Arrival::Later, false },
+};
+
+/** A second answer of a stage's endpoint gave pieces the results of other requests (issue 44, review/2). */
+ParameterizedTestParameters(extraAnswer, repeatedResultsAreNotTakenForTheNextCall)
+{
+    return cr_make_param_array(PiecesCase, piecesCases, std::size(piecesCases));
+}
+
+ParameterizedTest(PiecesCase *test, extraAnswer, repeatedResultsAreNotTakenForTheNextCall)
+{
+    Harness harness(1);
+    int calls = 0;
+    const std::string own = "results-of-";
+    harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
+        const bool isRepeated = request.path() == "/v1/stage-run" && ++calls % repeatInterval == 0;
+        if (isRepeated && !test->hasHandles) {
+            return repeated(emptyAnswer("503 Full", "Not-Run: 1\r\n"), test->arrival);
+        }
+        auto items = nlohmann::json::array();
+        const auto call = nlohmann::json::parse(request.body);
+        for (const auto &item : call.value("items", nlohmann::json::array())) {
+            items.push_back({ { "handle", "127.0.0.1:1/" + own + item.at("id").get<std::string>() } });
+        }
+        const std::string body = nlohmann::json { { "items", items } }.dump();
+        const std::string answer = fullAnswer("Content-Type: application/json\r\n", body);
+        return isRepeated ? repeated(answer, test->arrival) : RawEndpoint::Answer { { answer } };
+    });
+    auto &engine = harness.addEndpoint("g1", "engine", Endpoint::Behaviour::Stream);
+    const RouteSpec route { .name = "drawn",
+                            .kind = RouteKind::Stream,
+                            .service = "engine",
+                            .isResumable = true,
+                            .stages = { { "first", {} } } };
+    harness.store().publishDesiredState(makeState(1, { route }));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    int served = 0;
+    for (int number = 1; number <= requestCount; ++number) {
+        const auto response = harness.sendAndWait(
+            0, "POST", "/drawn/x", stagedHeaders("request-" + std::to_string(number) + "-", { 1 }), "b");
+        served += response.status == 200 ? 1 : 0;
+    }
+    for (const auto &received : engine.receivedRequests()) {
+        const std::string inputs = received.inputs();
+        const std::string expected = "127.0.0.1:1/" + own + received.requestId();
+        cr_assert(inputs == expected, "%s: %s", test->name, inputs.c_str());
+    }
+    cr_assert_eq(served, requestCount, "%s: %d", test->name, served);
+}
