--- /dev/null
+++ b/tools/soak/src/soak.cpp
@@ -0,0 +1,224 @@
+#include "callers.h"
+#include "endpoints.h"
+
+#include <requests.h>
+
+#include <csignal>
+#include <cstdlib>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+/**
+ * Randomized runs of real gateway processes with faults, from seeds.
+ *
+ * LACEWING_SOAK_SEEDS=FIRST-LAST sets the seeds, LACEWING_SOAK_SECONDS the time for each.
+ */
+namespace lacewing::soak
+{
+namespace
+{
+
+constexpr std::size_t vmCount = 3;
+/** What happens to VMs, one at a time. */
+enum class VmFault : std::uint8_t { None, Pause, Kill, PlannedStop, Any };
+
+struct SoakCase {
+    char name[30];
+    EndpointFaults endpointFaults;
+    VmFault vmFault;
+    int longestStreamMs;
+};
+
+constexpr EndpointFaults noFaults {};
+constexpr EndpointFaults repeatedAnswers { .repeated = 0.2, .rejected = 0.1 };
+constexpr EndpointFaults brokenConnections { .rejected = 0.05, .reset = 0.05, .truncated = 0.05, .closed = 0.05 };
+constexpr EndpointFaults allFaults { 0.05, 0.05, 0.02, 0.02, 0.02 };
+
+SoakCase soakCases[] = {
+    { "no faults", noFaults, VmFault::None, 300 },
+    { "repeated answers", repeatedAnswers, VmFault::None, 300 },
+    { "broken connections", brokenConnections, VmFault::None, 300 },
+    { "paused vms", noFaults, VmFault::Pause, 300 },
+    { "killed vms", noFaults, VmFault::Kill, 300 },
+    { "planned stops", noFaults, VmFault::PlannedStop, 300 },
+    { "planned stops, long streams", noFaults, VmFault::PlannedStop, 4'000 },
+    { "everything", allFaults, VmFault::Any, 300 },
+};
+
+/** Seeds for which a promise was broken once. */
+constexpr std::uint64_t keptSeeds[] = { 1 };
+
+std::vector<std::uint64_t> chooseSeeds()
+{
+    const char *text = std::getenv("LACEWING_SOAK_SEEDS");
+    std::vector<std::uint64_t> seeds;
+    if (text == nullptr) {
+        seeds.assign(std::begin(keptSeeds), std::end(keptSeeds));
+        return seeds;
+    }
+    const std::string range = text;
+    const auto dash = range.find('-');
+    const std::uint64_t first = std::stoull(range);
+    const std::uint64_t last = dash == std::string::npos ? first : std::stoull(range.substr(dash + 1));
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+Duration chooseDuration()
+{
+    constexpr Duration shortRun = 8s;
+    const char *text = std::getenv("LACEWING_SOAK_SECONDS");
+    return text != nullptr ? fromSeconds(std::stod(text)) : shortRun;
+}
+
+/** One run: VMs, endpoints, callers and faults. */
+class Run
+{
+public:
+    Run(const SoakCase &test, std::uint64_t seed)
+        : test_(test)
+        , random_(seed)
+        , harness_(vmCount)
+        , endpoints_(harness_, promises_, random_.next(), std::chrono::milliseconds(test.longestStreamMs))
+        , callers_(harness_, promises_, vmCount, random_.next())
+    {
+        harness_.setStopGrace(stopGraceSeconds);
+        auto routes = gateway_test::allRoutes();
+        routes.push_back({ .name = "drawn",
+                           .kind = platform_standin::RouteKind::Stream,
+                           .service = "engine",
+                           .stages = { { "first", {} } } });
+        harness_.store().publishDesiredState(gateway_test::makeState(1, routes));
+        harness_.start();
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            harness_.waitForLogLines({ vm }, "\"endpoint joined\"", endpointCount);
+        }
+        harness_.waitForLinks();
+    }
+
+    void play(Duration time)
+    {
+        const Time end = now() + time;
+        callers_.start();
+        endpoints_.setFaults(test_.endpointFaults);
+        while (now() < end) {
+            wait(between(200ms, 800ms));
+            disturb();
+        }
+        endpoints_.setFaults({});
+        callers_.stop();
+        harness_.waitFor([&] { return callers_.pending() == 0; }, "the last answers");
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            if (harness_.hasEnded(vm)) {
+                promises_.onProcessEnded(vm);
+            }
+        }
+    }
+
+    const Promises &promises() const noexcept
+    {
+        return promises_;
+    }
+
+private:
+    static constexpr std::size_t endpointCount = 11;
+    static constexpr int stopGraceSeconds = 3;
+
+    Time now()
+    {
+        return harness_.loop().clock().now();
+    }
+
+    void wait(Duration time)
+    {
+        const Time end = now() + time;
+        harness_.waitFor([&] { return now() >= end; }, "time");
+    }
+
+    Duration between(Duration least, Duration most)
+    {
+        return least + Duration(std::int64_t(random_.below(std::uint64_t((most - least).count()))));
+    }
+
+    void disturb()
+    {
+        const std::size_t vm = random_.below(vmCount);
+        if (harness_.hasEnded(vm)) {
+            promises_.onProcessEnded(vm);
+            harness_.start(vm, 1);
+        }
+        VmFault fault = test_.vmFault;
+        if (fault == VmFault::Any) {
+            constexpr VmFault faults[] = { VmFault::None, VmFault::Pause, VmFault::Kill, VmFault::PlannedStop };
+            fault = faults[random_.below(std::size(faults))];
+        }
+        switch (fault) {
+        case VmFault::None:
+        case VmFault::Any:
+            break;
+        case VmFault::Pause:
+            harness_.signal(vm, SIGSTOP);
+            wait(between(100ms, 3s));
+            harness_.signal(vm, SIGCONT);
+            break;
+        case VmFault::Kill:
+            harness_.signal(vm, SIGKILL);
+            restart(vm);
+            break;
+        case VmFault::PlannedStop:
+            if (test_.vmFault == VmFault::PlannedStop) {
+                promises_.onPlannedStop(vm, now(), std::chrono::seconds(stopGraceSeconds));
+            }
+            harness_.signal(vm, SIGTERM);
+            restart(vm);
+            break;
+        }
+    }
+
+    void restart(std::size_t vm)
+    {
+        harness_.waitFor([&] { return harness_.hasEnded(vm); }, "the process to end");
+        harness_.start(vm, 1);
+    }
+
+    const SoakCase &test_;
+    Random random_;
+    gateway_test::Harness harness_;
+    Promises promises_;
+    Endpoints endpoints_;
+    Callers callers_;
+};
+
+} // namespace
+} // namespace lacewing::soak
+
+ParameterizedTestParameters(soak, promisesHold)
+{
+    using namespace lacewing::soak;
+    return cr_make_param_array(SoakCase, soakCases, std::size(soakCases));
+}
+
+ParameterizedTest(lacewing::soak::SoakCase *test, soak, promisesHold)
+{
+    using namespace lacewing::soak;
+    for (const auto seed : chooseSeeds()) {
+        Run run(*test, seed);
+        run.play(chooseDuration());
+        std::string broken;
+        for (const auto &line : run.promises().broken()) {
+            broken += "\n  " + line;
+        }
+        const auto &promises = run.promises();
+        cr_log_warn("%s, seed %llu: %zu requests, %zu served",
+                    test->name,
+                    static_cast<unsigned long long>(seed),
+                    promises.endedCount(),
+                    promises.servedCount());
+        cr_expect(
+            broken.empty(), "%s, seed %llu:%s", test->name, static_cast<unsigned long long>(seed), broken.c_str());
+        cr_expect_gt(promises.servedCount(), promises.endedCount() / 2, "%s", test->name);
+    }
+}
