--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -39,6 +39,11 @@
 
     /** Runs on the calling thread until stop(). May be called again afterwards. */
     void run();
+    /**
+     * Sets what is called for an exception that leaves a callback; the loop continues with the next callback. By
+     * default the exception leaves run().
+     */
+    void setExceptionHandler(std::function<void(const std::exception &error)> handler);
     /** Makes run() return after the callback in progress. Thread-safe. */
     void stop();
     /** Runs a function on the loop's thread, in order of the calls. Thread-safe. */
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -19,11 +19,13 @@
         }
         const auto work = boost::asio::make_work_guard(context_);
         armTimer();
-        while (context_.run_one() > 0) {
+        while (runOne() > 0) {
             armTimer();
         }
     }
 
+    std::function<void(const std::exception &)> exceptionHandler;
+
     void armTimer()
     {
         const auto due = timers.nextDue();
@@ -53,6 +55,19 @@
     }
 
 private:
+    std::size_t runOne()
+    {
+        if (!exceptionHandler) {
+            return context_.run_one();
+        }
+        try {
+            return context_.run_one();
+        } catch (const std::exception &error) {
+            exceptionHandler(error);
+            return 1;
+        }
+    }
+
     static constexpr int oneThread = 1;
     boost::asio::io_context context_ { oneThread };
     boost::asio::steady_timer timer_ { context_ };
@@ -71,6 +86,11 @@
     impl_->run();
 }
 
+void EventLoop::setExceptionHandler(std::function<void(const std::exception &)> handler)
+{
+    impl_->exceptionHandler = std::move(handler);
+}
+
 void EventLoop::stop()
 {
     impl_->context().stop();
--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -175,8 +175,8 @@
             });
             return;
         }
+        accept(); // first, so that a failure to serve this connection does not end the listener
         take(std::move(socket));
-        accept();
     }
 
     void take(tcp::socket socket)
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -106,6 +106,12 @@
 int Gateway::run()
 {
     waitForSignal();
+    // What callers, endpoints, other VMs or the store send may end the request at hand, but never the process.
+    auto exceptions = context_.metrics.counter({ "unhandled_exceptions", "Exceptions that left a callback" });
+    context_.loop.setExceptionHandler([this, exceptions](const std::exception &error) mutable {
+        exceptions.add();
+        context_.logger.error("unhandled exception", { { "error", std::string_view(error.what()) } });
+    });
     state_.start();
     context_.loop.timers().every(context_.now() + housekeepingInterval, housekeepingInterval, [this](Time now) {
         loadBalancer_.prune(state_.endpoints());
--- a/tools/gateway/src/piece_codec.cpp
+++ b/tools/gateway/src/piece_codec.cpp
@@ -1,5 +1,7 @@
 #include "piece_codec.h"
 
+#include <userplatform/userplatform.h>
+
 #include <algorithm>
 
 namespace lacewing::gateway
@@ -36,6 +38,13 @@
     return message;
 }
 
+/** Returns whether an endpoint can be asked for a piece. A VM of an earlier version does not check that. */
+bool isValid(const PieceMessage &message, const PiecesRequest &request)
+{
+    return message.service < request.services.size() && userplatform::isUsableInPiecesCall(message.key)
+        && std::all_of(message.inputs.begin(), message.inputs.end(), userplatform::isUsableInPiecesCall);
+}
+
 stages::PieceTask toTask(PieceMessage message, const PiecesRequest &request, Time now)
 {
     stages::PieceTask task;
@@ -125,11 +134,14 @@
 
 std::optional<PieceBatch> toBatch(PiecesRequest request, Time now)
 {
+    if (!userplatform::isUsableInPiecesCall(request.request)) {
+        return std::nullopt;
+    }
     PieceBatch batch;
     batch.cell = stages::CellId(request.cell);
     batch.zone = AvailabilityZoneId(request.zone);
     for (auto &piece : std::exchange(request.pieces, {})) {
-        if (piece.service >= request.services.size()) {
+        if (!isValid(piece, request)) {
             return std::nullopt;
         }
         batch.pieces.push_back(toTask(std::move(piece), request, now));
@@ -137,8 +149,8 @@
     if (request.admission) {
         batch.admission = toAdmissionRequest(*request.admission, request, now);
     }
-    const bool isValid = !batch.pieces.empty() && batch.admission.has_value() == request.admission.has_value();
-    return isValid ? std::optional(std::move(batch)) : std::nullopt;
+    const bool isComplete = !batch.pieces.empty() && batch.admission.has_value() == request.admission.has_value();
+    return isComplete ? std::optional(std::move(batch)) : std::nullopt;
 }
 
 PieceResult toResult(std::uint32_t index, const PieceOutcome &outcome)
