--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -375,6 +375,12 @@
     std::function<void(const HttpHead &)> onHead;
     std::function<void(std::string_view)> onBody; ///< pieces of the body, chunked coding removed
     std::function<void(const HttpEnd &)> onDone;
+    /**
+     * Called at the end of a response that does not repeat HttpCall::echo, before onDone, if
+     * HttpClientOptions::reuseOnlyAfterEcho() is set. Returns whether the content shows that the response belongs to
+     * this call; if not, or if there is no such function, the connection is not used again.
+     */
+    std::function<bool()> isIdentified;
     /**
      * The head of an answer that is not awaited any more: it had arrived unread when the call was cancelled or a time
      * limit passed, or arrives a moment later. Called once at most, after onDone if the call was not cancelled.
@@ -407,7 +413,8 @@
     /** Headers sent with every request. */
     HttpClientOptions &defaultHeaders(Headers headers);
     /**
-     * Whether a connection is used again only after a response that repeated HttpCall::echo. For servers that may send
+     * Whether a connection is used again only after a response that repeated HttpCall::echo, or that
+     * HttpHandlers::isIdentified has recognized. For servers that may send
      * a response twice: without the header the second one can't be told from the response to the next call. Default
      * false.
      */
@@ -518,7 +525,8 @@
                      HttpCall call,
                      HttpLimits limits,
                      std::function<void(const HttpEnd &, HttpResponse)> callback,
-                     std::function<void(const HttpHead &)> onLateHead = nullptr);
+                     std::function<void(const HttpHead &)> onLateHead = nullptr,
+                     std::function<bool(const HttpResponse &)> isIdentified = nullptr);
 
 // ---------------------------------------------------------------------------------------------------------------------
 // Server-sent events
--- a/libs/net/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -99,7 +99,8 @@
                      HttpCall call,
                      HttpLimits limits,
                      std::function<void(const HttpEnd &, HttpResponse)> callback,
-                     std::function<void(const HttpHead &)> onLateHead)
+                     std::function<void(const HttpHead &)> onLateHead,
+                     std::function<bool(const HttpResponse &)> isIdentified)
 {
     auto response = std::make_shared<HttpResponse>();
     HttpHandlers handlers;
@@ -109,6 +110,9 @@
         callback(end, std::move(*response));
     };
     handlers.onLateHead = std::move(onLateHead);
+    if (isIdentified) {
+        handlers.isIdentified = [response, isIdentified = std::move(isIdentified)] { return isIdentified(*response); };
+    }
     return client.start(std::move(call), limits, std::move(handlers));
 }
 
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -143,7 +143,8 @@
     }
     written_ = true;
     const auto connection = std::exchange(connection_, nullptr);
-    if (reusable) {
+    const bool isOwnResponse = isIdentified(*connection);
+    if (reusable && isOwnResponse) {
         pool_.giveBack(connection);
     } else {
         pool_.discard(connection);
@@ -151,6 +152,13 @@
     end(std::nullopt);
 }
 
+/** Returns whether the response, which is complete, certainly belongs to this call as far as that matters. */
+bool ClientCall::isIdentified(const ClientConnection &connection) const
+{
+    return !pool_.options().reuseOnlyAfterEcho() || connection.hasEcho()
+        || (handlers_.isIdentified && handlers_.isIdentified());
+}
+
 void ClientCall::failed(Error error)
 {
     if (phase_ == Phase::Lingering) {
--- a/libs/net/src/client_call.h
+++ b/libs/net/src/client_call.h
@@ -41,6 +41,7 @@
 
     void connectFresh();
     void sendRequest();
+    bool isIdentified(const ClientConnection &connection) const;
     bool mayRetry() const noexcept;
     void retryFresh();
     void end(std::optional<Error> error);
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -301,14 +301,11 @@
 void ClientConnection::finish()
 {
     // A server may answer before it has read the whole request: the rest of it would still be due on the connection.
-    const bool isIdentified = hasEcho() || !options_.reuseOnlyAfterEcho();
-    const bool reusable =
-        parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_ && !writing_ && isIdentified;
+    const bool reusable = parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_ && !writing_;
     noteKeepAlive();
     listener_->completed(reusable);
 }
 
-/** Returns whether the response repeats the value that identifies its request. */
 bool ClientConnection::hasEcho() const
 {
     return echo_ && findHeader(parser_->head.headers, echo_->name) == echo_->value;
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -88,6 +88,8 @@
     }
     /** False only when it is certain that no byte of the last request was given to the network. */
     bool mayHaveWritten() const noexcept;
+    /** Whether the response just completed repeats the value that identifies its request. */
+    bool hasEcho() const;
     Time idleSince() const noexcept
     {
         return idleSince_;
@@ -114,7 +116,6 @@
     bool deliver();
     void finish();
     bool answersAnother() const;
-    bool hasEcho() const;
     void noteKeepAlive();
     void fail(ErrorKind kind, std::string detail);
 
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -137,6 +137,44 @@
     Duration expectedDuration {};
 };
 
+/** Which call an answer belongs to. */
+enum class AnswerOrigin : std::uint8_t {
+    New, ///< the call that it is taken for, as it holds results that were not known
+    Repeated, ///< an earlier call
+    Unknown, ///< it holds no result
+};
+
+/**
+ * Recognizes second copies of answers to calls for pieces.
+ *
+ * Such an answer has no id, but each result has a handle of its own. An answer that holds the results of an earlier
+ * call is a second copy of that call's answer.
+ */
+class AnswerHistory
+{
+public:
+    /**
+     * Determines which call an answer belongs to, and records it.
+     *
+     * @param pieces of the call @param handles of the results, one for each piece; empty for pieces that failed
+     */
+    AnswerOrigin record(const routing::EndpointLifetime &endpoint,
+                        std::span<const PieceTask> pieces,
+                        std::span<const std::optional<ResultHandle>> handles,
+                        Time now);
+    /** Removes endpoints without recent answers. */
+    void expire(Time now);
+
+private:
+    struct Answer {
+        Time receivedAt;
+        std::uint64_t firstResult; ///< hash of its handle
+        std::uint64_t call; ///< hash of the pieces
+    };
+
+    std::map<routing::EndpointLifetime, std::deque<Answer>> answers_;
+};
+
 /** How a call ended. */
 enum class CallOutcome : std::uint8_t {
     Answered, ///< with a result or a failure reason for each piece
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -194,12 +194,20 @@
         [this, number](const net::HttpEnd &end, const net::HttpResponse &response) {
             const auto inFlight = inFlightCalls_.extract(number);
             if (!inFlight.empty()) {
-                handleCallEnd(inFlight.mapped(), end, response);
+                handleCallEnd(inFlight.mapped(), end, response.head);
             }
         },
         [this, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
             // The call was aborted or timed out, but what the endpoint says still holds.
             shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
+        },
+        [this, number](const net::HttpResponse &response) {
+            const auto inFlight = inFlightCalls_.find(number);
+            if (inFlight == inFlightCalls_.end()) {
+                return false;
+            }
+            readResults(inFlight->second, response);
+            return inFlight->second.answerOrigin == stages::AnswerOrigin::New;
         });
     inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle, now() });
 }
@@ -243,23 +251,40 @@
     }
 }
 
-void BatchDispatcher::handleCallEnd(const InFlightCall &inFlight,
-                                    const net::HttpEnd &end,
-                                    const net::HttpResponse &response)
+/** Reads the results of a complete response, unless they belong to another call. */
+void BatchDispatcher::readResults(InFlightCall &inFlight, const net::HttpResponse &response)
+{
+    const auto &pieces = inFlight.call.pieces;
+    auto results = userplatform::parsePiecesResponse(response.body, pieces.size());
+    if (response.head.status != net::status::ok || !results) {
+        return;
+    }
+    std::vector<std::optional<stages::ResultHandle>> handles;
+    for (const auto &result : results.value()) {
+        handles.push_back(result.handle);
+    }
+    inFlight.answerOrigin = shared_.answers.record(inFlight.entry.lifetime(), pieces, handles, now());
+    if (inFlight.answerOrigin == stages::AnswerOrigin::Repeated) {
+        shared_.context.logger.warn(
+            "answer of another call",
+            { { "service", service_ }, { "endpoint", inFlight.call.endpoint }, { "pieces", pieces.size() } });
+        return;
+    }
+    inFlight.results = std::move(results.value());
+}
+
+void BatchDispatcher::handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head)
 {
     const auto &call = inFlight.call;
     shared_.reachability.onEnded();
     if (end.headReceived) {
         shared_.reachability.onReceived();
-        shared_.notices.handleResponse(
-            inFlight.entry, userplatform::parseResponseMetadata(response.head), inFlight.sentAt);
+        shared_.notices.handleResponse(inFlight.entry, userplatform::parseResponseMetadata(head), inFlight.sentAt);
     }
-    const bool isResponseValid = !end.error && response.head.status == net::status::ok;
-    const auto pieceResponses = userplatform::parsePiecesResponse(response.body, call.pieces.size());
-    if (isResponseValid && pieceResponses) {
-        handleResults(call, pieceResponses.value());
+    if (!end.error && !inFlight.results.empty()) {
+        handleResults(call, inFlight.results);
     } else {
-        handleCallFailure(inFlight, end, response.head);
+        handleCallFailure(inFlight, end, head);
     }
     scheduleRun(Duration::zero());
 }
@@ -387,9 +412,16 @@
         }
         const net::HttpLimits limits { connectTimeout, releaseTimeout / 2, releaseTimeout / 2, releaseTimeout };
         net::HttpHandlers handlers;
-        handlers.onHead = [this, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
+        const auto isDone = std::make_shared<bool>(false);
+        handlers.onHead = [this, isDone, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
             shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
+            *isDone = head.status == net::status::ok;
+        };
+        handlers.onBody = [isDone](std::string_view bytes) {
+            *isDone = *isDone && !userplatform::mayHoldResults(bytes);
         };
+        // A second copy is harmless: it holds no results that a call for pieces could be given.
+        handlers.isIdentified = [isDone] { return *isDone; };
         shared_.notices.onSend(entry->lifetime());
         shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
     }
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -46,6 +46,7 @@
     EndpointReachability &reachability;
     PoisonRequestGuard &poisonRequests;
     net::HttpClient client; ///< connects to endpoints of stages
+    stages::AnswerHistory answers; ///< of these endpoints
     telemetry::Counter callCounter;
     telemetry::Counter pieceCounter;
     telemetry::Histogram fullnessHistogram;
@@ -83,13 +84,16 @@
         routing::EndpointEntry entry; ///< the endpoint's registration when the call was sent
         net::HttpCallHandle handle;
         Time sentAt;
+        std::vector<userplatform::PieceResponse> results; ///< of a complete response; empty if it holds none
+        stages::AnswerOrigin answerOrigin = stages::AnswerOrigin::Unknown;
     };
 
     void scheduleRun(Duration wait);
     void runScheduler();
     void send(stages::BatchCall call);
     void rejectQuarantined(stages::BatchCall &call);
-    void handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpResponse &response);
+    void readResults(InFlightCall &inFlight, const net::HttpResponse &response);
+    void handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head);
     void abortCalls(const EndpointId &endpoint);
     void handleResults(const stages::BatchCall &call, const std::vector<userplatform::PieceResponse> &pieceResponses);
     void handleCallFailure(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head);
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -122,6 +122,7 @@
         notices_.expire(now);
         streamOrigins_.expire(now);
         relayPeers_.expire(now);
+        pieces_.expire(now);
         shared_.rejectionHistory.expire(now);
         shared_.completionTimes.expire(now);
         shared_.dispatchTimes.expire(now);
--- a/tools/gateway/src/piece_service.h
+++ b/tools/gateway/src/piece_service.h
@@ -71,6 +71,10 @@
     void refresh();
     /** Returns the loads of the cells that this VM coordinates. */
     std::vector<LoadMessage> localLoads();
+    void expire(Time now)
+    {
+        shared_.answers.expire(now);
+    }
     /** Handles the loads of the cells that a VM coordinates, as reported by that VM. */
     void handleLoads(const VmId &vm, const std::vector<LoadMessage> &loads);
     /** Returns the number of pieces that are queued or in flight on this VM. */
