--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -412,6 +412,8 @@
         std::optional<Time> removalDueAt; ///< removal time of an entry that is missing after an outage
         bool isExcluded = false;
         std::optional<Time> heldUntil; ///< until then, the entry counts as a copy of a lifetime that has ended
+        /** An older lifetime that has registered since the entry's last report, and the first time that it did. */
+        std::optional<std::pair<Incarnation, Time>> olderLifetime;
 
         bool isAvailable() const noexcept
         {
@@ -431,6 +433,7 @@
     };
 
     bool isAffectedByOutage(Time now) const noexcept;
+    static bool isLateReport(Record &record, const EndpointEntry &entry, Time now);
     void recordEndedVersion(const EndpointEntry &entry, Time now);
     bool expireVersions(Time now);
     void recordEnd(const EndpointLifetime &lifetime, bool wasDraining, Time now);
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -14,6 +14,9 @@
 /** Time after which the registry tells of a lifetime that has ended: the endpoint is missing after three heartbeats of
  * up to 2 s, or registered with its next incarnation. */
 constexpr Duration maxDoubtTime = std::chrono::seconds(7);
+/** Time for which an older lifetime has to report, while the newer one does not, until it is believed: the registry may
+ * execute a report some seconds late, and a lifetime reports every 2 s at least. */
+constexpr Duration olderLifetimeTime = std::chrono::seconds(6);
 
 } // namespace
 
@@ -37,13 +40,14 @@
     if (record.entry.incarnation != entry.incarnation) {
         const bool isOlderCopy = registryRolledBackAt_ && now < *registryRolledBackAt_ + rollbackHoldTime
             && entry.incarnation < record.entry.incarnation;
-        if (isOlderCopy) {
+        if (isOlderCopy || isLateReport(record, entry, now)) {
             return DirectoryChange::None;
         }
         recordEnd(record.entry, now);
         records_.erase(found);
         return add(entry, now);
     }
+    record.olderLifetime.reset();
     record.removalDueAt.reset();
     const bool wasLeaving = record.entry.readiness == Readiness::Draining;
     EndpointEntry merged = entry;
@@ -62,6 +66,21 @@
                                                                   : DirectoryChange::Updated;
 }
 
+/**
+ * Returns whether an entry is a report of a former lifetime that the registry has executed late. Incarnations are times
+ * of clocks that may be set back, so an older lifetime that keeps reporting is a new one.
+ */
+bool EndpointDirectory::isLateReport(Record &record, const EndpointEntry &entry, Time now)
+{
+    if (entry.incarnation >= record.entry.incarnation) {
+        return false;
+    }
+    if (!record.olderLifetime || record.olderLifetime->first != entry.incarnation) {
+        record.olderLifetime.emplace(entry.incarnation, now);
+    }
+    return now - record.olderLifetime->second < olderLifetimeTime;
+}
+
 DirectoryChange EndpointDirectory::remove(const EndpointId &id, Time now)
 {
     const auto found = records_.find(id);
--- a/libs/routing/tests/endpoint_directory_test.cpp
+++ b/libs/routing/tests/endpoint_directory_test.cpp
@@ -256,3 +256,51 @@
     f.directory.update(entry("e", 2), start);
     cr_assert_not(f.isAvailable("e"));
 }
+
+namespace
+{
+
+struct Report {
+    int atMs;
+    std::uint64_t incarnation;
+};
+
+struct LateReportCase {
+    char name[60];
+    Report reports[8]; ///< up to one with incarnation 0
+    std::uint64_t expected; ///< incarnation at the end
+};
+
+LateReportCase lateReportCases[] = {
+    { "one late report", { { 0, 1 }, { 1'000, 2 }, { 6'000, 1 } }, 2 },
+    { "two late reports", { { 0, 1 }, { 1'000, 2 }, { 4'000, 1 }, { 6'000, 1 } }, 2 },
+    { "late reports between those of the newer one",
+      { { 0, 1 }, { 1'000, 2 }, { 2'000, 1 }, { 4'000, 2 }, { 7'000, 1 }, { 9'000, 2 }, { 12'000, 1 } },
+      2 },
+    { "restart after the clock was set back", { { 0, 5 }, { 1'000, 3 }, { 3'000, 3 }, { 5'000, 3 }, { 7'000, 3 } }, 3 },
+    { "two restarts after the clock was set back",
+      { { 0, 5 }, { 1'000, 3 }, { 3'000, 3 }, { 4'000, 4 }, { 6'000, 4 }, { 8'000, 4 }, { 10'000, 4 } },
+      4 },
+    { "newer lifetime", { { 0, 1 }, { 1'000, 2 }, { 1'100, 3 } }, 3 },
+};
+
+} // namespace
+
+/** A late report of a former lifetime let streams go on at another software version (issue 45). */
+ParameterizedTestParameters(endpointDirectory, lateReportsOfFormerLifetimesAreIgnored)
+{
+    return cr_make_param_array(LateReportCase, lateReportCases, std::size(lateReportCases));
+}
+
+ParameterizedTest(LateReportCase *test, endpointDirectory, lateReportsOfFormerLifetimesAreIgnored)
+{
+    Fixture f;
+    for (const auto &report : test->reports) {
+        if (report.incarnation > 0) {
+            f.directory.update(entry("e", report.incarnation), start + std::chrono::milliseconds(report.atMs));
+        }
+    }
+    const auto *found = f.directory.find(EndpointId("e"));
+    cr_assert(found != nullptr, "%s", test->name);
+    cr_assert_eq(found->incarnation.value(), test->expected, "%s", test->name);
+}
