--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -31,6 +31,10 @@
 constexpr Duration readerCheckInterval = 200ms;
 /** Time after the first check for which the readers may not have said yet that they are. */
 constexpr Duration readerAnnouncementTime = 750ms;
+/** Interval of the checks whether this process stood still, and by how much a check may be late: less than it takes an
+ * endpoint to end and start again. */
+constexpr Duration stallCheckInterval = 200ms;
+constexpr Duration stallTolerance = 300ms;
 /** Minimum interval between requests for records to other VMs. */
 constexpr Duration minPeerRequestInterval = 300ms;
 /** Interval of the checks for registrations that expired after an outage of the store. */
@@ -86,6 +90,7 @@
     })
     , viewCheck_([this](const CoalescedCheck::Outcome &onDone) { startViewCheck(onDone); })
     , endpoints_(context.settings.reregistrationPeriod)
+    , stallDetector_(stallCheckInterval, stallTolerance)
 {
 }
 
@@ -107,6 +112,22 @@
     });
     context_.loop.timers().every(
         context_.now() + expiryCheckInterval, expiryCheckInterval, [this](Time now) { expireEndpoints(now); });
+    context_.loop.timers().every(
+        context_.now() + stallCheckInterval, stallCheckInterval, [this](Time) { detectStall(); });
+}
+
+/** Has the endpoint registrations confirmed after this process stood still. */
+void FleetState::detectStall()
+{
+    const auto lateness = stallDetector_.update(timeSinceBoot());
+    if (!lateness) {
+        return;
+    }
+    isViewStalled_ = true;
+    context_.logger.warn("process stood still", { { "ms", toMilliseconds(*lateness) } });
+    confirmEndpoints([this](bool isCurrent) {
+        context_.logger.state("registrations confirmed after a stall", { { "current", isCurrent } });
+    });
 }
 
 std::string FleetState::ownAddressValue() const
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -3,6 +3,7 @@
 #include "bulk_response.h"
 #include "context.h"
 #include "fleet_links.h"
+#include "stall_detector.h"
 #include "state_exchange.h"
 
 #include <routing/routing.h>
@@ -94,6 +95,11 @@
      * @param onDone `isCurrent` is false if neither the store nor a VM that reads it has responded
      */
     void confirmEndpoints(std::function<void(bool isCurrent)> onDone);
+    /** Returns whether this process stood still since the endpoint registrations were last confirmed. */
+    bool isViewStalled() const noexcept
+    {
+        return isViewStalled_;
+    }
 
     /**
      * Makes a lifetime of an endpoint unavailable that has said that it leaves.
@@ -161,6 +167,7 @@
     void updateStoreReading();
     bool isStoreReader() const;
     void startViewCheck(const CoalescedCheck::Outcome &onDone);
+    void detectStall();
     void checkView(int remainingChecks, const CoalescedCheck::Outcome &onDone);
     void askReaders(CoalescedCheck::Outcome onDone);
     bool hasActiveReader() const;
@@ -193,6 +200,8 @@
     bool isReaderRoleKnown_ = false; ///< whether this VM has found out if it has to follow the store
     Time readersExpectedUntil_; ///< no VM may have said until then that it reads the store
     bool readsStore_ = false; ///< whether this VM follows the store itself
+    StallDetector stallDetector_;
+    bool isViewStalled_ = false;
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -76,12 +76,15 @@
     const bool isStoreLost = found == replicas_.end() || found->second.isStoreLost;
     // A VM that has just started has read all registrations a moment ago.
     const bool hasJustStarted = !isReaderRoleKnown_ || context_.now() < readersExpectedUntil_;
-    return endpointsLoaded_ && (readsStore_ || hasJustStarted ? !isStoreLost : hasActiveReader());
+    return endpointsLoaded_ && !isViewStalled_ && (readsStore_ || hasJustStarted ? !isStoreLost : hasActiveReader());
 }
 
 void FleetState::confirmEndpoints(std::function<void(bool isCurrent)> onDone)
 {
-    viewCheck_.request(std::move(onDone));
+    viewCheck_.request([this, onDone = std::move(onDone)](bool isCurrent) {
+        isViewStalled_ = isViewStalled_ && !isCurrent;
+        onDone(isCurrent);
+    });
 }
 
 void FleetState::startViewCheck(const CoalescedCheck::Outcome &onDone)
--- a/tools/gateway/src/relay_service.cpp
+++ b/tools/gateway/src/relay_service.cpp
@@ -72,7 +72,17 @@
             refuse("limit of relayed requests");
         } else {
             holdsPlace_ = true;
-            send();
+            const auto weak = weak_from_this();
+            writer_.onClosed([weak] {
+                if (const auto self = weak.lock()) {
+                    self->cancel();
+                }
+            });
+            if (message_.origin) {
+                confirmEndpointsAndSend();
+            } else {
+                send();
+            }
         }
     }
 
@@ -82,6 +92,22 @@
     }
 
 private:
+    /** Has the registrations confirmed, as a stream may go on only at endpoints of its software version. */
+    void confirmEndpointsAndSend()
+    {
+        shared_.state.confirmEndpoints([weak = weak_from_this()](bool isCurrent) {
+            const auto self = weak.lock();
+            if (!self || !self->service_.calls_.contains(self)) {
+                return;
+            }
+            if (!isCurrent && self->shared_.state.isViewStalled()) {
+                self->refuse("endpoints not confirmed after a stall");
+            } else {
+                self->send();
+            }
+        });
+    }
+
     void send()
     {
         RequestPlacement placement(shared_, metadata_, message_.service);
@@ -130,11 +156,6 @@
                 self->fail({ ErrorKind::Timeout, "deadline exceeded" });
             }
         });
-        writer_.onClosed([weak] {
-            if (const auto self = weak.lock()) {
-                self->cancel();
-            }
-        });
         writer_.onDrained([weak] {
             if (const auto self = weak.lock()) {
                 self->flush();
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -39,6 +39,42 @@
     if (rejectIfStopping(shared_.dispatchTimes)) {
         return;
     }
+    if (continuesStream() && !std::exchange(areEndpointsConfirmed_, false)) {
+        confirmEndpoints();
+    } else {
+        selectAndSend();
+    }
+}
+
+/** Returns whether the next attempt continues a stream, which only endpoints of its software version may do. */
+bool RequestHandler::continuesStream() const noexcept
+{
+    return origin_ && (isBodyForwarded_ || isResumption());
+}
+
+/**
+ * Has the endpoint registrations confirmed before a stream is continued. An endpoint may have started again under its
+ * id with another software version, and this VM may have missed that while it stood still or was cut off.
+ */
+void RequestHandler::confirmEndpoints()
+{
+    phase_ = Phase::ConfirmingEndpoints;
+    shared_.state.confirmEndpoints([weak = weak_from_this()](bool isCurrent) {
+        const auto self = weak.lock();
+        if (!self || self->phase_ != Phase::ConfirmingEndpoints) {
+            return;
+        }
+        if (!isCurrent && self->shared_.state.isViewStalled()) {
+            self->rejectOrFail("endpoints not confirmed after a stall", defaultRetryAfter);
+            return;
+        }
+        self->selectAndSend();
+    });
+}
+
+void RequestHandler::selectAndSend()
+{
+    phase_ = Phase::SelectingEndpoint;
     const auto *service = routes_->findService(service_);
     const auto results = stages_ ? stages_->resultBytes() : ResultBytes();
     if (shared_.reachability.isUnreachable(service_)
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -170,6 +170,7 @@
         if (!self || self->phase_ != Phase::LookingUpOrigin) {
             return;
         }
+        self->areEndpointsConfirmed_ = isCurrent;
         const auto origin = isCurrent ? self->shared_.streamOrigins.soleOrigin(*self->route_, true) : std::nullopt;
         if (origin) {
             self->resumeFrom(origin, "only version");
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -36,6 +36,7 @@
     enum class Phase : std::uint8_t {
         New,
         LookingUpOrigin,
+        ConfirmingEndpoints,
         RunningStages,
         SelectingEndpoint,
         AwaitingHead,
@@ -67,6 +68,9 @@
 
     // Attempts, in request_attempts.cpp
     void dispatch();
+    void selectAndSend();
+    void confirmEndpoints();
+    bool continuesStream() const noexcept;
     void sendTo(const routing::EndpointEntry &entry, const ResultBytes &results);
     void sendByRelay(const ResultBytes &results);
     void beginAttempt();
@@ -139,6 +143,7 @@
     net::SseSplitter eventSplitter_; ///< of the stream of the latest attempt, if it may be resumed
     net::SseBoundary eventBoundary_; ///< of the stream of the latest attempt, if it may not
     std::string lastEventId_; ///< id of the last event forwarded to the caller
+    bool areEndpointsConfirmed_ = false; ///< for the next attempt
     /** Where the stream began; empty until an event of it is forwarded, unless the request resumes a stream. */
     std::optional<routing::StreamOrigin> origin_;
     std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
