Gateway: the view is confirmed again and again after a stall, until that succeeds

Cause: a confirmation that failed, as in an outage of the store, was not repeated, so that the view counted as out of date until a stream was continued.

--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -414,9 +414,9 @@
     HttpClientOptions &defaultHeaders(Headers headers);
     /**
      * Whether a connection is used again only after a response that repeated HttpCall::echo, or that
-     * HttpHandlers::isIdentified has recognized. For servers that may send
-     * a response twice: without the header the second one can't be told from the response to the next call. Default
-     * false.
+     * HttpHandlers::isIdentified has recognized. For servers that may send a response twice: otherwise the second one
+     * could be taken for the response to the next call.
+     * Default false.
      */
     HttpClientOptions &reuseOnlyAfterEcho(bool isRequired);
 
--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -35,6 +35,8 @@
  * endpoint to end and start again. */
 constexpr Duration stallCheckInterval = 200ms;
 constexpr Duration stallTolerance = 300ms;
+/** Minimum interval between confirmations after a stall: longer than one takes if nobody responds. */
+constexpr Duration stallConfirmationInterval = 5s;
 /** Minimum interval between requests for records to other VMs. */
 constexpr Duration minPeerRequestInterval = 300ms;
 /** Interval of the checks for registrations that expired after an outage of the store. */
@@ -116,15 +118,19 @@
         context_.now() + stallCheckInterval, stallCheckInterval, [this](Time) { detectStall(); });
 }
 
-/** Has the endpoint registrations confirmed after this process stood still. */
+/** Has the endpoint registrations confirmed after this process stood still, until that succeeds. */
 void FleetState::detectStall()
 {
-    const auto lateness = stallDetector_.update(timeSinceBoot());
-    if (!lateness) {
+    if (const auto lateness = stallDetector_.update(timeSinceBoot())) {
+        isViewStalled_ = true;
+        nextStallConfirmationAt_ = context_.now();
+        context_.logger.warn("process stood still", { { "ms", toMilliseconds(*lateness) } });
+    }
+    const Time now = context_.now();
+    if (!isViewStalled_ || now < nextStallConfirmationAt_) {
         return;
     }
-    isViewStalled_ = true;
-    context_.logger.warn("process stood still", { { "ms", toMilliseconds(*lateness) } });
+    nextStallConfirmationAt_ = now + stallConfirmationInterval;
     confirmEndpoints([this](bool isCurrent) {
         context_.logger.state("registrations confirmed after a stall", { { "current", isCurrent } });
     });
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -202,6 +202,7 @@
     bool readsStore_ = false; ///< whether this VM follows the store itself
     StallDetector stallDetector_;
     bool isViewStalled_ = false;
+    Time nextStallConfirmationAt_;
 };
 
 } // namespace lacewing::gateway
