Stand-ins: the platform's words stay in platform/, also in the tests of extra answers and the soak

Cases, bounds and assertions are the same.

Conclusion: nothing outside platform/ names the platform's fields any more in these files; no test was weakened.

--- a/tools/gateway/tests/extra_answer_test.cpp
+++ b/tools/gateway/tests/extra_answer_test.cpp
@@ -1,7 +1,6 @@
 #include "requests.h"
 
 #include <map>
-#include <nlohmann/json.hpp>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -21,16 +20,6 @@
 /** When the second copy arrives. */
 enum class Arrival : std::uint8_t { AtOnce, Later, WithNextRequest };
 
-std::string emptyAnswer(const std::string &statusLine, const std::string &headers)
-{
-    return "HTTP/1.1 " + statusLine + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
-}
-
-std::string fullAnswer(const std::string &headers, const std::string &body)
-{
-    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 RawEndpoint::Answer repeated(const std::string &text, Arrival arrival)
 {
     constexpr Duration laterDelay = 15ms;
@@ -54,32 +43,22 @@
     char name[60];
     char service[10];
     char target[16];
-    char statusLine[30];
-    char headers[50];
+    int status;
+    char namedRequest[8]; ///< in the rejection; empty: it names none
     Arrival arrival;
 };
 
 RejectionCase rejectionCases[] = {
-    { "unsafe, full, at once", "plain", "/unsafe/x", "503 Full", "Not-Run: 1\r\n", Arrival::AtOnce },
-    { "unsafe, full, later", "plain", "/unsafe/x", "503 Full", "Not-Run: 1\r\n", Arrival::Later },
-    { "unsafe, full, next", "plain", "/unsafe/x", "503 Full", "Not-Run: 1\r\n", Arrival::WithNextRequest },
-    { "unsafe, many, next", "plain", "/unsafe/x", "429 Many", "Not-Run: 1\r\n", Arrival::WithNextRequest },
-    { "unsafe, bad, next", "plain", "/unsafe/x", "400 Bad", "Not-Run: 1\r\n", Arrival::WithNextRequest },
-    { "stream, full, next", "engine", "/stream/x", "503 Full", "Not-Run: 1\r\n", Arrival::WithNextRequest },
-    { "stream, full, later", "engine", "/stream/x", "503 Full", "Not-Run: 1\r\n", Arrival::Later },
-    { "unsafe, id of another request, next",
-      "plain",
-      "/unsafe/x",
-      "503 Full",
-      "Not-Run: 1\r\nAttempt-Id: other\r\n",
-      Arrival::WithNextRequest },
+    { "unsafe, full, at once", "plain", "/unsafe/x", 503, "", Arrival::AtOnce },
+    { "unsafe, full, later", "plain", "/unsafe/x", 503, "", Arrival::Later },
+    { "unsafe, full, next", "plain", "/unsafe/x", 503, "", Arrival::WithNextRequest },
+    { "unsafe, many, next", "plain", "/unsafe/x", 429, "", Arrival::WithNextRequest },
+    { "unsafe, bad, next", "plain", "/unsafe/x", 400, "", Arrival::WithNextRequest },
+    { "stream, full, next", "engine", "/stream/x", 503, "", Arrival::WithNextRequest },
+    { "stream, full, later", "engine", "/stream/x", 503, "", Arrival::Later },
+    { "unsafe, id of another request, next", "plain", "/unsafe/x", 503, "other", Arrival::WithNextRequest },
 };
 
-bool promisesNotRun(int status)
-{
-    return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 } // namespace
 
 /** A second copy of a rejection was taken for the answer to the next request, which then ran twice (issue 44). */
@@ -93,24 +72,22 @@
     Harness harness(1);
     std::map<std::string, int> executions;
     int arrivals = 0;
-    const bool hasId = std::string_view(test->headers).find("Attempt-Id") != std::string_view::npos;
+    const std::string namedRequest = test->namedRequest;
+    const std::string rejection =
+        rejectionText(test->status, namedRequest.empty() ? std::string() : requestIdHeaderText(namedRequest));
     for (const char *name : { "e1", "e2" }) {
         const std::string id = name;
         harness.addRawEndpoint(id, test->service, [&, id](const std::string &request) {
-            if (++arrivals % repeatInterval == 0) {
-                const std::string rejection = emptyAnswer(test->statusLine, test->headers);
-                // An answer with the id of another request is no answer to this one, which follows it.
-                if (!hasId) {
-                    return repeated(rejection, test->arrival);
-                }
-                ++executions[request];
-                const std::string answer = fullAnswer(receiptHeaders(id, request), "id: 1\ndata: x\n\n");
-                RawEndpoint::Answer both { { answer } };
-                both.extraBeforeNext = rejection;
-                return both;
+            const bool isRepeated = ++arrivals % repeatInterval == 0;
+            if (isRepeated && namedRequest.empty()) {
+                return repeated(rejection, test->arrival);
             }
             ++executions[request];
-            return RawEndpoint::Answer { { fullAnswer(receiptHeaders(id, request), "id: 1\ndata: x\n\n") } };
+            RawEndpoint::Answer answer { { answerText(receiptHeaders(id, request), "id: 1\ndata: x\n\n") } };
+            if (isRepeated) {
+                answer.extraBeforeNext = rejection;
+            }
+            return answer;
         });
     }
     harness.store().publishDesiredState(makeState(1, allRoutes()));
@@ -154,19 +131,13 @@
 {
     Harness harness(1);
     int calls = 0;
-    const std::string own = "results-of-";
+    const auto handleOf = [](const std::string &request) { return "127.0.0.1:1/results-of-" + request; };
     harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
-        const bool isRepeated = request.path() == "/v1/stage-run" && ++calls % repeatInterval == 0;
+        const bool isRepeated = isPiecesCall(request) && ++calls % repeatInterval == 0;
         if (isRepeated && !test->hasHandles) {
-            return repeated(emptyAnswer("503 Full", "Not-Run: 1\r\n"), test->arrival);
-        }
-        auto items = nlohmann::json::array();
-        const auto call = nlohmann::json::parse(request.body);
-        for (const auto &item : call.value("items", nlohmann::json::array())) {
-            items.push_back({ { "handle", "127.0.0.1:1/" + own + item.at("id").get<std::string>() } });
+            return repeated(rejectionText(net::status::unavailable), test->arrival);
         }
-        const std::string body = nlohmann::json { { "items", items } }.dump();
-        const std::string answer = fullAnswer("Content-Type: application/json\r\n", body);
+        const std::string answer = piecesAnswerText(request, handleOf);
         return isRepeated ? repeated(answer, test->arrival) : RawEndpoint::Answer { { answer } };
     });
     auto &engine = harness.addEndpoint("g1", "engine", Endpoint::Behaviour::Stream);
@@ -186,8 +157,7 @@
     }
     for (const auto &received : engine.receivedRequests()) {
         const std::string inputs = received.inputs();
-        const std::string expected = "127.0.0.1:1/" + own + received.requestId();
-        cr_assert(inputs == expected, "%s: %s", test->name, inputs.c_str());
+        cr_assert(inputs == handleOf(received.requestId()), "%s: %s", test->name, inputs.c_str());
     }
     cr_assert_eq(served, requestCount, "%s: %d", test->name, served);
 }
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -88,7 +88,7 @@
                                                        platform_standin::RawEndpoint::Script script)
 {
     return addRawEndpoint(id, service, [script = std::move(script)](const net::HttpRequest &request) {
-        return script(std::string(request.header("Attempt-Id").value_or("")));
+        return script(platform_standin::ReceivedRequest { request }.requestId());
     });
 }
 
--- a/tools/gateway/tests/odd_request_test.cpp
+++ b/tools/gateway/tests/odd_request_test.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-/** One request with a Piece-Key in Latin-1 ended the processes of all VMs, one after the other (issue 45, review/1). */
+/** One request with a piece key in Latin-1 ended the processes of all VMs, one after the other (issue 45, review/1). */
 ParameterizedTestParameters(oddRequest, endsOnlyItself)
 {
     return cr_make_param_array(OddRequestCase, oddRequestCases, std::size(oddRequestCases));
--- a/tools/gateway/tests/stalled_vm_test.cpp
+++ b/tools/gateway/tests/stalled_vm_test.cpp
@@ -47,10 +47,7 @@
     Harness harness(1);
     harness.addRawEndpoint("e1", "engine", [](const std::string &request) {
         RawEndpoint::Answer answer;
-        answer.parts = { "HTTP/1.1 200 OK\r\n" + receiptHeaders("e1", request)
-                             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                         "15\r\nid: 1\ndata: event 1\n\n\r\n",
-                         "" };
+        answer.parts = { streamHeadText("e1", request), "15\r\nid: 1\ndata: event 1\n\n\r\n", "" };
         answer.partDelay = untilBreak;
         answer.ending = RawEndpoint::Ending::Reset;
         return answer;
--- a/tools/soak/src/endpoints.cpp
+++ b/tools/soak/src/endpoints.cpp
@@ -2,31 +2,21 @@
 
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 
 namespace lacewing::soak
 {
-namespace
-{
 
-using Json = nlohmann::json;
-
-constexpr int maxEvents = 40;
-constexpr std::string_view resultPrefix = "127.0.0.1:1/";
+using namespace platform_standin;
 
-std::string headerOf(const net::HttpRequest &request, std::string_view name)
+namespace
 {
-    return std::string(request.header(name).value_or(""));
-}
 
-std::string emptyAnswer(const std::string &statusLine, const std::string &headers)
-{
-    return "HTTP/1.1 " + statusLine + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
-}
+constexpr int maxEvents = 40;
 
-std::string fullAnswer(const std::string &headers, const std::string &body)
+/** Returns how the handles of all results of a request begin. */
+std::string resultPrefixOf(const std::string &request)
 {
-    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "127.0.0.1:1/" + request + "/";
 }
 
 std::string chunk(const std::string &text)
@@ -42,13 +32,6 @@
     return 1 + int(hashBytes(stream) % maxEvents);
 }
 
-/** Returns the id under which the events of a stream are made: the same for a request that resumes it. */
-std::string streamOf(const net::HttpRequest &request, const std::string &id)
-{
-    const auto resumed = headerOf(request, "Resumes");
-    return resumed.empty() ? id : resumed;
-}
-
 } // namespace
 
 Endpoints::Endpoints(gateway_test::Harness &harness, Promises &promises, std::uint64_t seed, Duration longestStream)
@@ -79,68 +62,65 @@
 
 Endpoints::Answer Endpoints::handle(State &endpoint, const net::HttpRequest &request)
 {
-    if (headerOf(request, "Expect-Runner") != endpoint.id) {
-        return { { emptyAnswer("421 Misdirected", "Runner-Id: " + endpoint.id + "\r\n") } };
+    const ReceivedRequest received { request };
+    if (received.expectedEndpoint() != endpoint.id) {
+        return { { misdirectionText(endpoint.id) } };
     }
-    if (request.path() == "/v1/stage-free") {
-        return { { fullAnswer("", "{}") } };
+    if (isReleaseCall(request)) {
+        return { { answerText({}, {}) } };
     }
     if (random_.chance(faults_.closed)) {
-        return { { "" }, platform_standin::RawEndpoint::Ending::Close };
+        return { { "" }, RawEndpoint::Ending::Close };
     }
     if (endpoint.running >= endpoint.slots || random_.chance(faults_.rejected)) {
         return reject(endpoint);
     }
-    if (request.path() == "/v1/stage-run") {
+    if (isPiecesCall(request)) {
         return makePieces(endpoint, request);
     }
-    const auto id = headerOf(request, "Attempt-Id");
-    return endpoint.service == "engine" ? runStream(endpoint, request, id) : runPlain(endpoint, request, id);
+    return endpoint.service == "engine" ? runStream(endpoint, received) : runPlain(endpoint, received);
 }
 
 Endpoints::Answer Endpoints::reject(State &endpoint)
 {
-    Answer answer { { emptyAnswer("503 Full",
-                                  "Not-Run: 1\r\nRunner-Load: " + std::to_string(endpoint.running) + ",0,"
-                                      + std::to_string(endpoint.slots) + "\r\n") } };
+    Answer answer { { rejectionText(net::status::unavailable, loadHeader(endpoint.running, endpoint.slots)) } };
     spoil(answer);
     return answer;
 }
 
-Endpoints::Answer Endpoints::makePieces(State &endpoint, const net::HttpRequest &request)
+Endpoints::Answer Endpoints::makePieces(State &endpoint, const net::HttpRequest &call)
 {
     constexpr Duration callTime = 10ms;
-    auto items = Json::array();
-    for (const auto &item : Json::parse(request.body).value("items", Json::array())) {
-        items.push_back({ { "handle",
-                            std::string(resultPrefix) + item.at("id").get<std::string>() + "/"
-                                + std::to_string(random_.next()) } });
-    }
-    Answer answer { { fullAnswer("Content-Type: application/json\r\n", Json { { "items", items } }.dump()) } };
+    Answer answer { { piecesAnswerText(call, [this](const std::string &request) {
+        return resultPrefixOf(request) + std::to_string(random_.next());
+    }) } };
     answer.delay = callTime;
     occupySlot(endpoint, callTime);
     spoil(answer);
     return answer;
 }
 
-Endpoints::Answer Endpoints::runPlain(State &endpoint, const net::HttpRequest &request, const std::string &id)
+Endpoints::Answer Endpoints::runPlain(State &endpoint, const ReceivedRequest &received)
 {
     constexpr Duration leastWork = 2ms;
     constexpr Duration mostWork = 30ms;
+    const auto id = received.requestId();
     promises_.onRun(id, endpoint.id);
+    const auto &request = received.request;
     const std::string body = request.method + " " + request.target + " by " + id + " at " + endpoint.id;
     promises_.onAnswered(id, body);
-    Answer answer { { fullAnswer(platform_standin::receiptHeaders(endpoint.id, id), body) } };
+    Answer answer { { answerText(receiptHeaders(endpoint.id, id), body) } };
     answer.delay = between(leastWork, mostWork);
     occupySlot(endpoint, answer.delay);
     spoil(answer);
     return answer;
 }
 
-Endpoints::Answer Endpoints::runStream(State &endpoint, const net::HttpRequest &request, const std::string &id)
+Endpoints::Answer Endpoints::runStream(State &endpoint, const ReceivedRequest &received)
 {
-    const auto inputs = headerOf(request, "Inputs");
-    const std::string own = std::string(resultPrefix) + id + "/";
+    const auto id = received.requestId();
+    const auto inputs = received.inputs();
+    const std::string own = resultPrefixOf(id);
     for (std::size_t begin = 0; begin < inputs.size();) {
         const auto end = std::min(inputs.find(',', begin), inputs.size());
         if (inputs.compare(begin, own.size(), own) != 0) {
@@ -149,12 +129,12 @@
         begin = end + 1;
     }
     promises_.onRun(id, endpoint.id);
-    const std::string stream = streamOf(request, id);
-    const auto last = headerOf(request, "Last-Event-Id");
+    // The events are the same for a request that resumes the stream.
+    const auto resumed = received.resumedRequest();
+    const std::string stream = resumed.empty() ? id : resumed;
+    const auto last = received.lastEventId();
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
-    Answer answer;
-    answer.parts.push_back("HTTP/1.1 200 OK\r\n" + platform_standin::receiptHeaders(endpoint.id, id)
-                           + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    Answer answer { { streamHeadText(endpoint.id, id) } };
     std::string body;
     for (int event = 1; event <= eventCountOf(stream); ++event) {
         const auto text = net::sseEvent(std::to_string(event), stream + " " + std::to_string(event));
@@ -194,11 +174,11 @@
         }
     } else if (random_.chance(faults_.reset)) {
         answer.parts = { "" };
-        answer.ending = platform_standin::RawEndpoint::Ending::Reset;
+        answer.ending = RawEndpoint::Ending::Reset;
     } else if (random_.chance(faults_.truncated)) {
         auto &lastPart = answer.parts.back();
         lastPart.resize(lastPart.size() / 2);
-        answer.ending = platform_standin::RawEndpoint::Ending::Close;
+        answer.ending = RawEndpoint::Ending::Close;
     }
 }
 
--- a/tools/soak/src/endpoints.h
+++ b/tools/soak/src/endpoints.h
@@ -35,15 +35,14 @@
         std::string service;
         std::size_t slots = 0;
         std::size_t running = 0;
-        std::string address;
     };
 
     void add(const std::string &id, const std::string &service, std::size_t slots);
     Answer handle(State &endpoint, const net::HttpRequest &request);
     Answer reject(State &endpoint);
-    Answer makePieces(State &endpoint, const net::HttpRequest &request);
-    Answer runPlain(State &endpoint, const net::HttpRequest &request, const std::string &id);
-    Answer runStream(State &endpoint, const net::HttpRequest &request, const std::string &id);
+    Answer makePieces(State &endpoint, const net::HttpRequest &call);
+    Answer runPlain(State &endpoint, const platform_standin::ReceivedRequest &received);
+    Answer runStream(State &endpoint, const platform_standin::ReceivedRequest &received);
     void occupySlot(State &endpoint, Duration time);
     void spoil(Answer &answer);
     Duration between(Duration least, Duration most);
--- a/tools/soak/src/promises.cpp
+++ b/tools/soak/src/promises.cpp
@@ -1,5 +1,7 @@
 #include "promises.h"
 
+#include <platform_standin/platform_standin.h>
+
 #include <algorithm>
 
 namespace lacewing::soak
@@ -13,11 +15,6 @@
 /** A planned stop is over this long after the grace period. */
 constexpr Duration stopMargin = 1s;
 
-bool promisesNotRun(int status)
-{
-    return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 std::string join(const std::vector<std::string> &texts)
 {
     std::string joined;
@@ -90,7 +87,8 @@
         if (!request.hasEnded) {
             continue;
         }
-        if (request.repeatable == Repeatable::No && promisesNotRun(outcome.status) && !request.runs.empty()) {
+        if (request.repeatable == Repeatable::No && platform_standin::promisesNotRun(outcome.status)
+            && !request.runs.empty()) {
             lines.push_back("REFUSED: " + ran + ", its caller got " + std::to_string(outcome.status));
         }
         const bool isSuccess = outcome.status == 200 && outcome.isComplete;
