Soak: a planned stop can lose a request

Cause: the grace period of the soak was 3 s, and requests sent within 3 s of the stop may be excused, so that the check for LOST could never fail.

Change: a grace period of 5 s.

--- a/tools/soak/src/soak.cpp
+++ b/tools/soak/src/soak.cpp
@@ -125,7 +125,8 @@
 
 private:
     static constexpr std::size_t endpointCount = 11;
-    static constexpr int stopGraceSeconds = 3;
+    /** Longer than the time within which a cut request may be excused, or nothing could be lost. */
+    static constexpr int stopGraceSeconds = 5;
 
     Time now()
     {
