Gateway: fleet_state.cpp in three files, one timer for its checks

Change: fleet_state_records.cpp passes records on between VMs (pushes, requests, responses); the stall check stands with the confirmation of the view in fleet_state_versions.cpp; both checks of 200 ms share a timer. Code was moved, not rewritten.

Conclusion: behaviour as before.

--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -31,18 +31,11 @@
 constexpr Duration readerCheckInterval = 200ms;
 /** Time after the first check for which the readers may not have said yet that they are. */
 constexpr Duration readerAnnouncementTime = 750ms;
-/** Interval of the checks whether this process stood still, and by how much a check may be late: less than it takes an
- * endpoint to end and start again. */
-constexpr Duration stallCheckInterval = 200ms;
+/** Interval of the checks for registrations that expired after an outage of the store, and whether this process stood
+ * still. */
+constexpr Duration viewCheckPeriod = 200ms;
+/** By how much such a check may be late: less than it takes an endpoint to end and start again. */
 constexpr Duration stallTolerance = 300ms;
-/** Minimum interval between confirmations after a stall: longer than one takes if nobody responds. */
-constexpr Duration stallConfirmationInterval = 5s;
-/** Minimum interval between requests for records to other VMs. */
-constexpr Duration minPeerRequestInterval = 300ms;
-/** Interval of the checks for registrations that expired after an outage of the store. */
-constexpr Duration expiryCheckInterval = 200ms;
-/** Records of a whole topic that another VM may send. */
-constexpr std::size_t maxRecordsBytes = std::size_t(16) << 20U;
 /** Spreads the writes of all VMs after the store has lost them; a fleet of 370 VMs writes some 190 a second. */
 constexpr Duration maxRewriteDelay = 2s;
 /** Keys of quarantines in the topic of the VMs' addresses; names of VMs contain no slash. */
@@ -53,7 +46,9 @@
     return std::string(quarantineKeyPrefix) + std::string(name);
 }
 
-std::string_view topicName(Topic topic)
+} // namespace
+
+std::string_view FleetState::topicName(Topic topic)
 {
     switch (topic) {
     case Topic::Operator:
@@ -66,8 +61,6 @@
     return "vms";
 }
 
-} // namespace
-
 FleetState::FleetState(Context &context,
                        FleetLinks &links,
                        std::uint64_t seed,
@@ -92,7 +85,7 @@
     })
     , viewCheck_([this](const CoalescedCheck::Outcome &onDone) { startViewCheck(onDone); })
     , endpoints_(context.settings.reregistrationPeriod)
-    , stallDetector_(stallCheckInterval, stallTolerance)
+    , stallDetector_(viewCheckPeriod, stallTolerance)
 {
 }
 
@@ -112,27 +105,9 @@
             updateStoreReading();
         }
     });
-    context_.loop.timers().every(
-        context_.now() + expiryCheckInterval, expiryCheckInterval, [this](Time now) { expireEndpoints(now); });
-    context_.loop.timers().every(
-        context_.now() + stallCheckInterval, stallCheckInterval, [this](Time) { detectStall(); });
-}
-
-/** Has the endpoint registrations confirmed after this process stood still, until that succeeds. */
-void FleetState::detectStall()
-{
-    if (const auto lateness = stallDetector_.update(timeSinceBoot())) {
-        isViewStalled_ = true;
-        nextStallConfirmationAt_ = context_.now();
-        context_.logger.warn("process stood still", { { "ms", toMilliseconds(*lateness) } });
-    }
-    const Time now = context_.now();
-    if (!isViewStalled_ || now < nextStallConfirmationAt_) {
-        return;
-    }
-    nextStallConfirmationAt_ = now + stallConfirmationInterval;
-    confirmEndpoints([this](bool isCurrent) {
-        context_.logger.state("registrations confirmed after a stall", { { "current", isCurrent } });
+    context_.loop.timers().every(context_.now() + viewCheckPeriod, viewCheckPeriod, [this](Time now) {
+        detectStall();
+        expireEndpoints(now);
     });
 }
 
@@ -539,126 +514,4 @@
     store_.setActive(Topic::Vms, shouldRead || isVmsReadDue_, {});
 }
 
-void FleetState::pushRecords(Topic topic, LogPosition start, const std::vector<StoreRecord> &records)
-{
-    if (topic != Topic::Endpoints || !readsStore_ || !isStoreReader()) {
-        return;
-    }
-    RecordsPush push { topic, start.packed(), {} };
-    for (const auto &record : records) {
-        push.records.records.push_back(
-            { record.key, record.position.packed(), !record.value, record.value.value_or("") });
-        push.records.endOffset = std::max(push.records.endOffset, record.position.next().packed());
-    }
-    links_.broadcast(encodeMessage(MessageKind::RecordsPush, push));
-}
-
-void FleetState::handlePushedRecords(const VmId &vm, const RecordsPush &push)
-{
-    const Topic topic = push.topic;
-    if (topic != Topic::Endpoints) {
-        return;
-    }
-    const TopicReplica &replica = replicas_[topic];
-    if (push.records.endOffset <= replica.end.packed()) {
-        return;
-    }
-    if (push.startOffset > replica.end.packed()) {
-        requestRecords(topic, vm, replica.end); // records between the two positions are missing
-        return;
-    }
-    applyPeerRecords(topic, push.records);
-}
-
-void FleetState::applyPeerRecords(Topic topic, const RecordsResponse &response)
-{
-    std::vector<StoreRecord> records;
-    for (const auto &record : response.records) {
-        auto value = record.isRemoval ? std::nullopt : std::optional(record.value);
-        records.push_back({ record.key, LogPosition::fromPacked(record.offset), std::move(value) });
-    }
-    std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.position < b.position; });
-    applyRecords(topic, records, LogPosition::fromPacked(response.endOffset), false);
-}
-
-void FleetState::handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat)
-{
-    stateExchange_.handleVersion(
-        vm, { StateVersion(heartbeat.stateVersion), heartbeat.stateDigest, heartbeat.operatorEndOffset }, std::nullopt);
-    const TopicReplica &endpointReplica = replicas_[Topic::Endpoints];
-    if (heartbeat.endpointsEndOffset > endpointReplica.end.packed()
-        && (endpointReplica.isStoreLost || !endpointsLoaded_ || !readsStore_)) {
-        requestRecords(Topic::Endpoints, vm, endpointReplica.end);
-    }
-}
-
-void FleetState::requestRecords(Topic topic, const VmId &vm, LogPosition start)
-{
-    TopicReplica &replica = replicas_[topic];
-    const Time now = context_.now();
-    const bool isTooSoon = replica.lastPeerRequestAt && now - *replica.lastPeerRequestAt < minPeerRequestInterval;
-    if (replica.isRequestedFromPeer || isTooSoon) {
-        return;
-    }
-    replica.lastPeerRequestAt = now;
-    replica.isRequestedFromPeer = true;
-    BulkHandlers handlers;
-    handlers.onReceived = [this, topic, vm, now](const std::string &bytes) {
-        replicas_[topic].isRequestedFromPeer = false;
-        const auto response = wire::decode<RecordsResponse>(bytes);
-        if (!response) {
-            context_.logger.warn("malformed records", { { "vm", vm }, { "error", response.error().detail } });
-            return;
-        }
-        context_.logger.state("records received from vm",
-                              { { "topic", topicName(topic) },
-                                { "vm", vm },
-                                { "records", response.value().records.size() },
-                                { "bytes", bytes.size() },
-                                { "ms", toMilliseconds(context_.now() - now) } });
-        if (topic == Topic::Endpoints) {
-            endpointsLoaded_ = true;
-        }
-        applyPeerRecords(topic, response.value());
-    };
-    handlers.onFailed = [this, topic, vm, now](const Error &error, std::size_t receivedBytes) {
-        replicas_[topic].isRequestedFromPeer = false;
-        context_.logger.warn("records not received from vm",
-                             { { "topic", topicName(topic) },
-                               { "vm", vm },
-                               { "error", toText(error.kind) },
-                               { "bytes", receivedBytes },
-                               { "ms", toMilliseconds(context_.now() - now) } });
-    };
-    const RecordsRequest request { topic, start.packed() };
-    requestBulk(
-        links_, vm, encodeMessage(MessageKind::Records, request), maxRecordsBytes, bulkCallLimits, std::move(handlers));
-}
-
-void FleetState::serveRecords(const RecordsRequest &request, peer::PeerCallWriter writer)
-{
-    if (request.isCurrentRequired) {
-        const RecordsRequest unconditional { request.topic, request.startOffset };
-        storeCheck_.request([this, unconditional, writer = std::move(writer)](bool isCurrent) mutable {
-            if (isCurrent) {
-                serveRecords(unconditional, std::move(writer));
-            } else {
-                writer.fail({ ErrorKind::Unavailable, "the store does not respond to this vm" });
-            }
-        });
-        return;
-    }
-    RecordsResponse response;
-    const auto replica = replicas_.find(request.topic);
-    if (replica != replicas_.end()) {
-        response.endOffset = replica->second.end.packed();
-        for (const auto &[key, record] : replica->second.records) {
-            if (record.position.packed() >= request.startOffset) {
-                response.records.push_back({ key, record.position.packed(), !record.value, record.value.value_or("") });
-            }
-        }
-    }
-    recordResponses_.send(std::make_shared<const std::string>(wire::encode(response)), std::move(writer));
-}
-
 } // namespace lacewing::gateway
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -141,6 +141,7 @@
         bool isRequestedFromPeer = false;
     };
 
+    static std::string_view topicName(userplatform::Topic topic);
     void watch(userplatform::Topic topic, const userplatform::WatchOptions &times);
     void applyRecords(userplatform::Topic topic,
                       const std::vector<userplatform::StoreRecord> &records,
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <memory>
 
-/** The part of FleetState that knows the software versions of endpoints. */
+/** The part of FleetState that knows the software versions of endpoints, and whether its view is current. */
 namespace lacewing::gateway
 {
 namespace
@@ -18,6 +18,9 @@
 constexpr Duration viewCheckInterval = 200ms;
 constexpr std::size_t maxReaderResponseBytes = std::size_t(4) << 20U;
 
+/** Minimum interval between confirmations after a stall: longer than one takes if nobody responds. */
+constexpr Duration stallConfirmationInterval = 5s;
+
 } // namespace
 
 /** Takes over versions that have served before this VM started. */
@@ -87,6 +90,24 @@
     });
 }
 
+/** Has the endpoint registrations confirmed after this process stood still, until that succeeds. */
+void FleetState::detectStall()
+{
+    if (const auto lateness = stallDetector_.update(timeSinceBoot())) {
+        isViewStalled_ = true;
+        nextStallConfirmationAt_ = context_.now();
+        context_.logger.warn("process stood still", { { "ms", toMilliseconds(*lateness) } });
+    }
+    const Time now = context_.now();
+    if (!isViewStalled_ || now < nextStallConfirmationAt_) {
+        return;
+    }
+    nextStallConfirmationAt_ = now + stallConfirmationInterval;
+    confirmEndpoints([this](bool isCurrent) {
+        context_.logger.state("registrations confirmed after a stall", { { "current", isCurrent } });
+    });
+}
+
 void FleetState::startViewCheck(const CoalescedCheck::Outcome &onDone)
 {
     checkView(maxViewChecks, onDone);
