--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -333,7 +333,7 @@
     bool connectOnly = false; ///< sends nothing: sets up a fresh connection, which is pooled, and ends
     /**
      * A header that the server repeats in its response. A response with another value belongs to an earlier request of
-     * the connection and is passed over; one without the header is taken. See HttpClientOptions::reuseOnlyAfterEcho().
+     * the connection and is passed over; one without the header is taken. See HttpClientOptions::reuseOnlyIdentified().
      */
     std::optional<Header> echo;
 };
@@ -377,7 +377,7 @@
     std::function<void(const HttpEnd &)> onDone;
     /**
      * Called at the end of a response that does not repeat HttpCall::echo, before onDone, if
-     * HttpClientOptions::reuseOnlyAfterEcho() is set. Returns whether the content shows that the response belongs to
+     * HttpClientOptions::reuseOnlyIdentified() is set. Returns whether the content shows that the response belongs to
      * this call; if not, or if there is no such function, the connection is not used again.
      */
     std::function<bool()> isIdentified;
@@ -413,12 +413,10 @@
     /** Headers sent with every request. */
     HttpClientOptions &defaultHeaders(Headers headers);
     /**
-     * Whether a connection is used again only after a response that repeated HttpCall::echo, or that
-     * HttpHandlers::isIdentified has recognized. For servers that may send a response twice: otherwise the second one
-     * could be taken for the response to the next call.
-     * Default false.
+     * Whether a connection is used again only after a response that certainly belonged to its call: it repeated
+     * HttpCall::echo, or HttpHandlers::isIdentified said so. For servers that may send a response twice. Default false.
      */
-    HttpClientOptions &reuseOnlyAfterEcho(bool isRequired);
+    HttpClientOptions &reuseOnlyIdentified(bool isRequired);
 
     std::size_t maxPerAddress() const noexcept
     {
@@ -448,9 +446,9 @@
     {
         return defaultHeaders_;
     }
-    bool reuseOnlyAfterEcho() const noexcept
+    bool reuseOnlyIdentified() const noexcept
     {
-        return reuseOnlyAfterEcho_;
+        return reuseOnlyIdentified_;
     }
 
 private:
@@ -461,7 +459,7 @@
     std::size_t maxHeaderBytes_ = std::size_t(16) << 10U;
     std::size_t maxBodyBytes_ = std::size_t(64) << 20U;
     Headers defaultHeaders_;
-    bool reuseOnlyAfterEcho_ = false;
+    bool reuseOnlyIdentified_ = false;
 };
 
 /** Counts of an HttpClient since its start. */
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -152,10 +152,10 @@
     end(std::nullopt);
 }
 
-/** Returns whether the response, which is complete, certainly belongs to this call as far as that matters. */
+/** Returns whether the response, which is complete, certainly belongs to this call, or nobody asks for that. */
 bool ClientCall::isIdentified(const ClientConnection &connection) const
 {
-    return !pool_.options().reuseOnlyAfterEcho() || connection.hasEcho()
+    return !pool_.options().reuseOnlyIdentified() || connection.hasEcho()
         || (handlers_.isIdentified && handlers_.isIdentified());
 }
 
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -265,9 +265,9 @@
     return *this;
 }
 
-HttpClientOptions &HttpClientOptions::reuseOnlyAfterEcho(bool isRequired)
+HttpClientOptions &HttpClientOptions::reuseOnlyIdentified(bool isRequired)
 {
-    reuseOnlyAfterEcho_ = isRequired;
+    reuseOnlyIdentified_ = isRequired;
     return *this;
 }
 
--- a/libs/net/tests/client_test.cpp
+++ b/libs/net/tests/client_test.cpp
@@ -156,7 +156,7 @@
         while (!socket.read("\r\n\r\n").empty() && socket.send(response)) { }
     });
     EventLoop loop;
-    HttpClient client(loop, HttpClientOptions().reuseOnlyAfterEcho(test->isEchoRequired));
+    HttpClient client(loop, HttpClientOptions().reuseOnlyIdentified(test->isEchoRequired));
     for (int number = 0; number < 2; ++number) {
         HttpCall call;
         call.address = server.address();
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -137,13 +137,6 @@
     Duration expectedDuration {};
 };
 
-/** Which call an answer belongs to. */
-enum class AnswerOrigin : std::uint8_t {
-    New, ///< the call that it is taken for, as it holds results that were not known
-    Repeated, ///< an earlier call
-    Unknown, ///< it holds no result
-};
-
 /**
  * Recognizes second copies of answers to calls for pieces.
  *
@@ -154,14 +147,15 @@
 {
 public:
     /**
-     * Determines which call an answer belongs to, and records it.
+     * Records an answer, unless it belongs to an earlier call.
      *
-     * @param pieces of the call @param handles of the results, one for each piece; empty for pieces that failed
+     * @param pieces of the call @param firstResult the first result in the answer
+     * @return whether the answer belongs to the call
      */
-    AnswerOrigin record(const routing::EndpointLifetime &endpoint,
-                        std::span<const PieceTask> pieces,
-                        std::span<const std::optional<ResultHandle>> handles,
-                        Time now);
+    bool record(const routing::EndpointLifetime &endpoint,
+                std::span<const PieceTask> pieces,
+                const ResultHandle &firstResult,
+                Time now);
     /** Removes endpoints without recent answers. */
     void expire(Time now);
 
--- a/libs/stages/src/answer_history.cpp
+++ b/libs/stages/src/answer_history.cpp
@@ -22,17 +22,12 @@
 
 } // namespace
 
-AnswerOrigin AnswerHistory::record(const routing::EndpointLifetime &endpoint,
-                                   std::span<const PieceTask> pieces,
-                                   std::span<const std::optional<ResultHandle>> handles,
-                                   Time now)
+bool AnswerHistory::record(const routing::EndpointLifetime &endpoint,
+                           std::span<const PieceTask> pieces,
+                           const ResultHandle &firstResult,
+                           Time now)
 {
-    const auto first =
-        std::find_if(handles.begin(), handles.end(), [](const auto &handle) { return handle.has_value(); });
-    if (first == handles.end()) {
-        return AnswerOrigin::Unknown;
-    }
-    const Answer answer { now, hashBytes((*first)->text()), hashOf(pieces) };
+    const Answer answer { now, hashBytes(firstResult.text()), hashOf(pieces) };
     auto &answers = answers_[endpoint];
     while (!answers.empty() && now - answers.front().receivedAt > retention) {
         answers.pop_front();
@@ -40,11 +35,10 @@
     const bool isRepeated = std::any_of(answers.begin(), answers.end(), [&](const Answer &earlier) {
         return earlier.firstResult == answer.firstResult && earlier.call != answer.call;
     });
-    if (isRepeated) {
-        return AnswerOrigin::Repeated;
+    if (!isRepeated) {
+        answers.push_back(answer);
     }
-    answers.push_back(answer);
-    return AnswerOrigin::New;
+    return !isRepeated;
 }
 
 void AnswerHistory::expire(Time now)
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -59,7 +59,7 @@
                  .maxPerAddress(maxConnectionsPerEndpoint)
                  .keepIdle(idleTimeout)
                  .maxBodyBytes(maxResponseBytes)
-                 .reuseOnlyAfterEcho(true))
+                 .reuseOnlyIdentified(true))
     , callCounter(context.metrics.counter({ "piece_calls", "Calls to endpoints of stages" }))
     , pieceCounter(context.metrics.counter({ "pieces", "Pieces in calls to endpoints of stages" }))
     , fullnessHistogram(context.metrics.histogram(
@@ -203,11 +203,7 @@
         },
         [this, number](const net::HttpResponse &response) {
             const auto inFlight = inFlightCalls_.find(number);
-            if (inFlight == inFlightCalls_.end()) {
-                return false;
-            }
-            readResults(inFlight->second, response);
-            return inFlight->second.answerOrigin == stages::AnswerOrigin::New;
+            return inFlight != inFlightCalls_.end() && readResults(inFlight->second, response);
         });
     inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle, now() });
 }
@@ -251,26 +247,32 @@
     }
 }
 
-/** Reads the results of a complete response, unless they belong to another call. */
-void BatchDispatcher::readResults(InFlightCall &inFlight, const net::HttpResponse &response)
+/**
+ * Reads the results of a complete response, unless they belong to another call.
+ *
+ * @return whether the response certainly belongs to this call; one without results could belong to any
+ */
+bool BatchDispatcher::readResults(InFlightCall &inFlight, const net::HttpResponse &response)
 {
     const auto &pieces = inFlight.call.pieces;
-    auto results = userplatform::parsePiecesResponse(response.body, pieces.size());
-    if (response.head.status != net::status::ok || !results) {
-        return;
+    if (response.head.status != net::status::ok) {
+        return false;
     }
-    std::vector<std::optional<stages::ResultHandle>> handles;
-    for (const auto &result : results.value()) {
-        handles.push_back(result.handle);
+    auto results = userplatform::parsePiecesResponse(response.body, pieces.size());
+    if (!results) {
+        return false;
     }
-    inFlight.answerOrigin = shared_.answers.record(inFlight.entry.lifetime(), pieces, handles, now());
-    if (inFlight.answerOrigin == stages::AnswerOrigin::Repeated) {
+    const auto first = std::find_if(
+        results.value().begin(), results.value().end(), [](const auto &result) { return result.handle.has_value(); });
+    const bool hasResult = first != results.value().end();
+    if (hasResult && !shared_.answers.record(inFlight.entry.lifetime(), pieces, *first->handle, now())) {
         shared_.context.logger.warn(
             "answer of another call",
             { { "service", service_ }, { "endpoint", inFlight.call.endpoint }, { "pieces", pieces.size() } });
-        return;
+        return false;
     }
     inFlight.results = std::move(results.value());
+    return hasResult;
 }
 
 void BatchDispatcher::handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head)
@@ -412,16 +414,14 @@
         }
         const net::HttpLimits limits { connectTimeout, releaseTimeout / 2, releaseTimeout / 2, releaseTimeout };
         net::HttpHandlers handlers;
-        const auto isDone = std::make_shared<bool>(false);
-        handlers.onHead = [this, isDone, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
+        const auto isEmptySuccess = std::make_shared<bool>(false);
+        handlers.onHead = [this, isEmptySuccess, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
             shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
-            *isDone = head.status == net::status::ok;
-        };
-        handlers.onBody = [isDone](std::string_view bytes) {
-            *isDone = *isDone && !userplatform::mayHoldResults(bytes);
+            *isEmptySuccess = head.status == net::status::ok;
         };
+        handlers.onBody = [isEmptySuccess](std::string_view) { *isEmptySuccess = false; };
         // A second copy is harmless: it holds no results that a call for pieces could be given.
-        handlers.isIdentified = [isDone] { return *isDone; };
+        handlers.isIdentified = [isEmptySuccess] { return *isEmptySuccess; };
         shared_.notices.onSend(entry->lifetime());
         shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
     }
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -85,14 +85,13 @@
         net::HttpCallHandle handle;
         Time sentAt;
         std::vector<userplatform::PieceResponse> results; ///< of a complete response; empty if it holds none
-        stages::AnswerOrigin answerOrigin = stages::AnswerOrigin::Unknown;
     };
 
     void scheduleRun(Duration wait);
     void runScheduler();
     void send(stages::BatchCall call);
     void rejectQuarantined(stages::BatchCall &call);
-    void readResults(InFlightCall &inFlight, const net::HttpResponse &response);
+    bool readResults(InFlightCall &inFlight, const net::HttpResponse &response);
     void handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head);
     void abortCalls(const EndpointId &endpoint);
     void handleResults(const stages::BatchCall &call, const std::vector<userplatform::PieceResponse> &pieceResponses);
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -41,7 +41,7 @@
         .maxPerAddress(maxConnectionsPerEndpoint)
         .maxConnections(std::max<std::size_t>(descriptors, reservedLinkDescriptors) - reservedLinkDescriptors / 2)
         .keepIdle(8s)
-        .reuseOnlyAfterEcho(true);
+        .reuseOnlyIdentified(true);
 }
 
 } // namespace
@@ -165,12 +165,16 @@
     });
 }
 
+/** Returns the requests under way, which may end while they are visited. */
+std::vector<std::shared_ptr<RequestHandler>> Gateway::activeRequests() const
+{
+    return { shared_.activeRequests.begin(), shared_.activeRequests.end() };
+}
+
 /** Ends requests that can't be completed before the process stops, while they can still be answered. */
 void Gateway::endOverdueRequests()
 {
-    const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
-                                                                shared_.activeRequests.end());
-    for (const auto &request : requests) {
+    for (const auto &request : activeRequests()) {
         request->handleStopProgress();
     }
 }
@@ -249,9 +253,7 @@
 {
     poisonRequests_.onPartsQuarantined();
     // Requests whose stages still run can't be sent to an engine any more.
-    const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
-                                                                shared_.activeRequests.end());
-    for (const auto &request : requests) {
+    for (const auto &request : activeRequests()) {
         request->handleQuarantineChange();
     }
 }
@@ -260,9 +262,7 @@
 {
     links_.setUnreachableServices(reachability_.unreachableServices());
     pieces_.refresh();
-    const std::vector<std::shared_ptr<RequestHandler>> requests(shared_.activeRequests.begin(),
-                                                                shared_.activeRequests.end());
-    for (const auto &request : requests) {
+    for (const auto &request : activeRequests()) {
         request->handleReachabilityChange();
     }
 }
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -30,6 +30,7 @@
 private:
     void waitForSignal();
     void startShutdown();
+    std::vector<std::shared_ptr<RequestHandler>> activeRequests() const;
     void endOverdueRequests();
     void finishShutdownWhenIdle();
     void updateMetrics();
--- a/tools/gateway/src/piece_codec.cpp
+++ b/tools/gateway/src/piece_codec.cpp
@@ -41,8 +41,8 @@
 /** Returns whether an endpoint can be asked for a piece. A VM of an earlier version does not check that. */
 bool isValid(const PieceMessage &message, const PiecesRequest &request)
 {
-    return message.service < request.services.size() && userplatform::isUsableInPiecesCall(message.key)
-        && std::all_of(message.inputs.begin(), message.inputs.end(), userplatform::isUsableInPiecesCall);
+    return message.service < request.services.size() && userplatform::isUtf8(message.key)
+        && std::all_of(message.inputs.begin(), message.inputs.end(), userplatform::isUtf8);
 }
 
 stages::PieceTask toTask(PieceMessage message, const PiecesRequest &request, Time now)
@@ -134,7 +134,7 @@
 
 std::optional<PieceBatch> toBatch(PiecesRequest request, Time now)
 {
-    if (!userplatform::isUsableInPiecesCall(request.request)) {
+    if (!userplatform::isUtf8(request.request)) {
         return std::nullopt;
     }
     PieceBatch batch;
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -277,12 +277,7 @@
         return;
     }
     if (now() >= shared_.stopSchedule->answersDueAt()) {
-        const bool mayBeRunning = mayHaveRun_ || phase_ == Phase::AwaitingHead || phase_ == Phase::Streaming;
-        if (mayBeRunning) {
-            fail(net::status::gatewayTimeout, "vm stops");
-        } else {
-            reject(net::status::unavailable, "vm stops", otherVmRetryAfter);
-        }
+        endUnfinished("vm stops", otherVmRetryAfter);
     } else if (phase_ == Phase::RunningStages) {
         rejectIfStopping(shared_.dispatchTimes);
     }
@@ -487,12 +482,18 @@
 }
 
 void RequestHandler::handleDeadline()
+{
+    endUnfinished("deadline exceeded", defaultRetryAfter);
+}
+
+/** Ends a request whose time is up: rejects it if it has certainly not run, else fails it. */
+void RequestHandler::endUnfinished(std::string_view reason, Duration retryAfter)
 {
     const bool mayBeRunning = mayHaveRun_ || phase_ == Phase::AwaitingHead || phase_ == Phase::Streaming;
     if (mayBeRunning) {
-        fail(net::status::gatewayTimeout, "deadline exceeded");
+        fail(net::status::gatewayTimeout, reason);
     } else {
-        reject(net::status::unavailable, "deadline exceeded", defaultRetryAfter);
+        reject(net::status::unavailable, reason, retryAfter);
     }
 }
 
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -105,6 +105,7 @@
     void fail(int status, std::string_view reason);
     void finish(int status, std::string_view outcome);
     void handleDeadline();
+    void endUnfinished(std::string_view reason, Duration retryAfter);
     void handleCallerDisconnect();
 
     Time now() const noexcept
--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -285,6 +285,12 @@
     return *status;
 }
 
+void Harness::runFor(Duration time)
+{
+    const Time end = loop_.clock().now() + time;
+    waitFor([&] { return loop_.clock().now() >= end; }, "time");
+}
+
 void Harness::waitForLinks()
 {
     const auto runningVms =
--- a/tools/gateway/tests/harness.h
+++ b/tools/gateway/tests/harness.h
@@ -131,6 +131,8 @@
 
     /** Runs the event loop until the condition holds; fails the test after 30 s. */
     void waitFor(const std::function<bool()> &condition, const char *what);
+    /** Runs the event loop for some time. */
+    void runFor(Duration time);
     /** Runs the event loop until each running VM has received heartbeats from all others. */
     void waitForLinks();
     /** Runs the event loop until the VMs together have logged a text at least so many times. */
--- a/tools/gateway/tests/late_answer_test.cpp
+++ b/tools/gateway/tests/late_answer_test.cpp
@@ -37,12 +37,6 @@
     { "deadline passed, stream", "engine", "/stream/x", End::DeadlinePassed },
 };
 
-void pause(Harness &harness, Duration time)
-{
-    const Time end = harness.loop().clock().now() + time;
-    harness.waitFor([&] { return harness.loop().clock().now() >= end; }, "time");
-}
-
 } // namespace
 
 /** An endpoint said that it wants nothing on a call that nobody waited for any more, and got requests (issue 34). */
@@ -81,16 +75,16 @@
         // The VM gets the answer together with the reason not to wait for it, as one without processor time does.
         harness.signal(0, SIGSTOP);
         if (hasDeadline) {
-            pause(harness, shortTimeout + 100ms);
+            harness.runFor(shortTimeout + 100ms);
         } else {
             caller.reset();
-            pause(harness, 20ms);
+            harness.runFor(20ms);
         }
         endpoint.releaseHeldResponses();
-        pause(harness, 20ms);
+        harness.runFor(20ms);
         harness.signal(0, SIGCONT);
     }
-    pause(harness, 500ms);
+    harness.runFor(500ms);
     // The VM may have asked once more by itself, or not at all.
     endpoint.setBehaviour(Behaviour::Respond);
     for (int count = 2; count < 6; ++count) {
--- a/tools/gateway/tests/stalled_vm_test.cpp
+++ b/tools/gateway/tests/stalled_vm_test.cpp
@@ -28,12 +28,6 @@
     { "store is silent", true },
 };
 
-void pause(Harness &harness, Duration time)
-{
-    const Time end = harness.loop().clock().now() + time;
-    harness.waitFor([&] { return harness.loop().clock().now() >= end; }, "time");
-}
-
 } // namespace
 
 /** A stream went on at an endpoint that had become another version during a freeze (issue 45, review/5). */
@@ -67,7 +61,7 @@
     cr_assert(other.restart(other.identity().incarnation + 1, "v2").has_value());
     other.setBehaviour(Endpoint::Behaviour::Stream);
     harness.store().registerEndpoint(other);
-    pause(harness, stallTime);
+    harness.runFor(stallTime);
     harness.signal(0, SIGCONT);
     harness.waitFor([&] { return answer->has_value(); }, "the end of the stream");
     cr_assert_not((*answer)->isComplete, "%s: %s", test->name, (*answer)->body.c_str());
--- a/tools/soak/src/soak.cpp
+++ b/tools/soak/src/soak.cpp
@@ -105,7 +105,7 @@
         callers_.start();
         endpoints_.setFaults(test_.endpointFaults);
         while (now() < end) {
-            wait(between(200ms, 800ms));
+            harness_.runFor(between(200ms, 800ms));
             disturb();
         }
         endpoints_.setFaults({});
@@ -133,12 +133,6 @@
         return harness_.loop().clock().now();
     }
 
-    void wait(Duration time)
-    {
-        const Time end = now() + time;
-        harness_.waitFor([&] { return now() >= end; }, "time");
-    }
-
     Duration between(Duration least, Duration most)
     {
         return least + Duration(std::int64_t(random_.below(std::uint64_t((most - least).count()))));
@@ -162,7 +156,7 @@
             break;
         case VmFault::Pause:
             harness_.signal(vm, SIGSTOP);
-            wait(between(100ms, 3s));
+            harness_.runFor(between(100ms, 3s));
             harness_.signal(vm, SIGCONT);
             break;
         case VmFault::Kill:
