Gateway: a release call keeps its connection after an answer without results

Change: the answer is read; it may not hold results of a call for pieces (userplatform::holdsResults).

--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -414,14 +414,16 @@
         }
         const net::HttpLimits limits { connectTimeout, releaseTimeout / 2, releaseTimeout / 2, releaseTimeout };
         net::HttpHandlers handlers;
-        const auto isEmptySuccess = std::make_shared<bool>(false);
-        handlers.onHead = [this, isEmptySuccess, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
+        const auto response = std::make_shared<net::HttpResponse>();
+        handlers.onHead = [this, response, endpoint = *entry, sentAt = now()](const net::HttpHead &head) {
             shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
-            *isEmptySuccess = head.status == net::status::ok;
+            response->head = head;
+        };
+        handlers.onBody = [response](std::string_view bytes) { response->body += bytes; };
+        // A second copy is harmless if it holds no results that a call for pieces could be given.
+        handlers.isIdentified = [response] {
+            return response->head.status == net::status::ok && !userplatform::holdsResults(response->body);
         };
-        handlers.onBody = [isEmptySuccess](std::string_view) { *isEmptySuccess = false; };
-        // A second copy is harmless: it holds no results that a call for pieces could be given.
-        handlers.isIdentified = [isEmptySuccess] { return *isEmptySuccess; };
         shared_.notices.onSend(entry->lifetime());
         shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
     }
