--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace boost::asio
@@ -356,6 +357,9 @@
     std::optional<std::string_view> header(std::string_view name) const noexcept;
 };
 
+/** Numbers the connections of one client from 1, for logs. */
+using ConnectionNumber = Number<struct ConnectionNumberTag>;
+
 /** How a call ended. */
 struct HttpEnd {
     /**
@@ -366,6 +370,8 @@
     std::optional<Error> error;
     bool requestWritten = false; ///< a byte of the request was given to the network, on any connection
     bool headReceived = false; ///< onHead was called
+    ConnectionNumber connection; ///< the last connection that the request was sent on; 0 if it was not sent
+    std::uint32_t earlierCalls = 0; ///< calls that this connection had carried before
 };
 
 /** Callbacks of a call, in the order connected, head, body, done; done is called exactly once unless the call is
@@ -391,6 +397,37 @@
 /** Names a call of one client; 0 is none. */
 using HttpCallHandle = Number<struct HttpCallTag>;
 
+/** Why a connection is not used again although its call got a whole response. */
+enum class DiscardReason : std::uint8_t {
+    EndsWithConnection, ///< nothing but the end of the connection marks the end of the response
+    ServerCloses, ///< the server has said so
+    ExtraBytes, ///< bytes have followed the response
+    BytesWhileIdle, ///< bytes have arrived while no call was in progress
+    RequestUnfinished, ///< the response came before the whole request was sent
+    Unidentified, ///< the response may belong to another call, see HttpClientOptions::reuseOnlyIdentified()
+};
+std::string_view toText(DiscardReason reason);
+
+/** The connection that an event of a client is about. */
+struct ConnectionInfo {
+    std::string_view address;
+    ConnectionNumber number;
+    std::string_view echo; ///< value of HttpCall::echo of its last call; empty: none
+};
+/** A response was passed over, as it belongs to another call than the one in progress. */
+struct ResponsePassedOver {
+    ConnectionInfo connection;
+    std::string_view echo; ///< of the response
+    int status;
+};
+/** A connection is not used again. */
+struct ConnectionDiscarded {
+    ConnectionInfo connection;
+    int status; ///< of its last response
+    DiscardReason reason;
+};
+using HttpClientEvent = std::variant<ResponsePassedOver, ConnectionDiscarded>;
+
 /** Bounds of an HttpClient; each setter returns the options for chaining. */
 class HttpClientOptions
 {
@@ -417,6 +454,8 @@
      * HttpCall::echo, or HttpHandlers::isIdentified said so. For servers that may send a response twice. Default false.
      */
     HttpClientOptions &reuseOnlyIdentified(bool isRequired);
+    /** Called for each event; must not call the client. Default none. */
+    HttpClientOptions &observer(std::function<void(const HttpClientEvent &)> observer);
 
     std::size_t maxPerAddress() const noexcept
     {
@@ -450,6 +489,13 @@
     {
         return reuseOnlyIdentified_;
     }
+    /** Tells the observer of an event, if there is one. */
+    void notify(const HttpClientEvent &event) const
+    {
+        if (observer_) {
+            observer_(event);
+        }
+    }
 
 private:
     std::size_t maxPerAddress_ = 256;
@@ -460,6 +506,7 @@
     std::size_t maxBodyBytes_ = std::size_t(64) << 20U;
     Headers defaultHeaders_;
     bool reuseOnlyIdentified_ = false;
+    std::function<void(const HttpClientEvent &)> observer_;
 };
 
 /** Counts of an HttpClient since its start. */
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -98,6 +98,8 @@
     progressAt_ = loop_.clock().now();
     std::string request = requestHead(call_, pool_.options().defaultHeaders());
     request += call_.body;
+    connectionNumber_ = connection_->info().number;
+    earlierCalls_ = connection_->callCount();
     connection_->send(std::move(request), call_.method == "HEAD", call_.echo, *this);
     armTimer();
 }
@@ -135,7 +137,7 @@
     }
 }
 
-void ClientCall::completed(bool reusable)
+void ClientCall::completed(CompletedResponse response)
 {
     if (phase_ == Phase::Lingering) {
         finishLingering();
@@ -143,11 +145,12 @@
     }
     written_ = true;
     const auto connection = std::exchange(connection_, nullptr);
-    const bool isOwnResponse = isIdentified(*connection);
-    if (reusable && isOwnResponse) {
-        pool_.giveBack(connection);
-    } else {
+    response.isIdentified = isIdentified(*connection);
+    if (const auto reason = whyNotReusable(response)) {
+        pool_.options().notify(ConnectionDiscarded { connection->info(), connection->status(), *reason });
         pool_.discard(connection);
+    } else {
+        pool_.giveBack(connection);
     }
     end(std::nullopt);
 }
@@ -233,7 +236,7 @@
     if (silent && pooled_ && phase_ == Phase::Waiting) {
         pool_.closeIdle(call_.address); // what silenced this connection may have silenced the others
     }
-    HttpEnd result { std::move(error), written_, headReceived_ };
+    HttpEnd result { std::move(error), written_, headReceived_, connectionNumber_, earlierCalls_ };
     if (connection_) {
         result.requestWritten = written_ || connection_->mayHaveWritten();
     }
--- a/libs/net/src/client_call.h
+++ b/libs/net/src/client_call.h
@@ -36,7 +36,7 @@
     void progressed() override;
     void received(const HttpHead &head) override;
     void received(const std::string &body) override;
-    void completed(bool reusable) override;
+    void completed(CompletedResponse response) override;
     void failed(Error error) override;
 
     void connectFresh();
@@ -70,6 +70,8 @@
     bool pooled_ = false; ///< the connection served another call before
     bool written_ = false; ///< on an earlier connection
     bool headReceived_ = false;
+    ConnectionNumber connectionNumber_; ///< of the last connection that the request was sent on
+    std::uint32_t earlierCalls_ = 0; ///< of that connection
 };
 
 } // namespace lacewing::net
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -71,10 +71,12 @@
 ClientConnection::ClientConnection(EventLoop &loop,
                                    const HttpClientOptions &options,
                                    std::string address,
+                                   ConnectionNumber number,
                                    std::function<void()> onGone)
     : options_(options)
     , socket_(loop.ioContext())
     , address_(std::move(address))
+    , number_(number)
     , onGone_(std::move(onGone))
 {
 }
@@ -139,6 +141,7 @@
     listener_ = &listener;
     headOnly_ = headOnly;
     request_ = std::move(request);
+    ++callCount_;
     sent_ = true;
     nothingWritten_ = false;
     newParser();
@@ -207,6 +210,9 @@
         return;
     }
     if (listener_ == nullptr) {
+        if (!error) {
+            options_.notify(ConnectionDiscarded { info(), status(), DiscardReason::BytesWhileIdle });
+        }
         close();
         return;
     }
@@ -277,8 +283,10 @@
     if (!parser_->headComplete || parser_->head.status < firstFinalStatus) {
         return true;
     }
-    if (!headDelivered_ && answersAnother()) {
+    if (!headDelivered_ && !skipping_ && answersAnother()) {
         skipping_ = true;
+        const auto echo = findHeader(parser_->head.headers, echo_->name).value_or(std::string_view());
+        options_.notify(ResponsePassedOver { info(), echo, status() });
     }
     if (skipping_) {
         parser_->body.clear();
@@ -300,10 +308,13 @@
 
 void ClientConnection::finish()
 {
-    // A server may answer before it has read the whole request: the rest of it would still be due on the connection.
-    const bool reusable = parser_->keep_alive() && !parser_->need_eof() && input_.size() == 0 && open_ && !writing_;
+    CompletedResponse response;
+    response.isKeptByServer = parser_->keep_alive() && open_;
+    response.endsWithConnection = parser_->need_eof();
+    response.hasExtraBytes = input_.size() > 0;
+    response.isRequestWritten = !writing_;
     noteKeepAlive();
-    listener_->completed(reusable);
+    listener_->completed(response);
 }
 
 bool ClientConnection::hasEcho() const
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <net/net.h>
+#include "connection_reuse.h"
 
 #include <memory>
 #include <optional>
@@ -47,8 +47,8 @@
     virtual void progressed() = 0;
     virtual void received(const HttpHead &head) = 0;
     virtual void received(const std::string &body) = 0;
-    /** The whole response has come. @param reusable another request may follow */
-    virtual void completed(bool reusable) = 0;
+    /** The whole response has come. @param response what it says of the connection, but for isIdentified */
+    virtual void completed(CompletedResponse response) = 0;
     virtual void failed(Error error) = 0;
 };
 
@@ -60,6 +60,7 @@
     ClientConnection(EventLoop &loop,
                      const HttpClientOptions &options,
                      std::string address,
+                     ConnectionNumber number,
                      std::function<void()> onGone);
     ~ClientConnection();
     ClientConnection(const ClientConnection &) = delete;
@@ -103,6 +104,21 @@
     {
         return address_;
     }
+    /** Describes the connection for the client's observer. The texts are valid as long as the connection is unused. */
+    ConnectionInfo info() const noexcept
+    {
+        return { address_, number_, echo_ ? std::string_view(echo_->value) : std::string_view() };
+    }
+    /** Status of the last response; 0 if there was none. */
+    int status() const noexcept
+    {
+        return parser_ ? parser_->head.status : 0;
+    }
+    /** Number of calls sent on the connection. */
+    std::uint32_t callCount() const noexcept
+    {
+        return callCount_;
+    }
 
 private:
     using ErrorCode = boost::beast::error_code;
@@ -122,11 +138,13 @@
     const HttpClientOptions &options_;
     boost::asio::ip::tcp::socket socket_;
     std::string address_;
+    ConnectionNumber number_;
     std::function<void()> onGone_;
     ConnectionListener *listener_ = nullptr;
     boost::beast::flat_buffer input_;
     std::optional<ResponseParser> parser_;
     std::string request_;
+    std::uint32_t callCount_ = 0;
     Time idleSince_;
     bool open_ = true;
     bool reading_ = false;
--- a/libs/net/src/client_pool.cpp
+++ b/libs/net/src/client_pool.cpp
@@ -79,7 +79,8 @@
     ++shared_->addresses[address].open;
     ++counters().openConnections;
     auto onGone = [shared = shared_, address] { gone(*shared, address); };
-    return std::make_shared<ClientConnection>(loop_, options_, address, std::move(onGone));
+    return std::make_shared<ClientConnection>(
+        loop_, options_, address, ConnectionNumber(++lastNumber_), std::move(onGone));
 }
 
 /** Drops closed connections from the idle ones, and the address when it has no connection left. */
--- a/libs/net/src/client_pool.h
+++ b/libs/net/src/client_pool.h
@@ -68,6 +68,7 @@
     HttpClientOptions options_;
     std::shared_ptr<Shared> shared_;
     TimerHandle sweepTimer_;
+    std::uint64_t lastNumber_ = 0;
 };
 
 } // namespace lacewing::net
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -271,4 +271,10 @@
     return *this;
 }
 
+HttpClientOptions &HttpClientOptions::observer(std::function<void(const HttpClientEvent &)> observer)
+{
+    observer_ = std::move(observer);
+    return *this;
+}
+
 } // namespace lacewing::net
--- /dev/null
+++ b/libs/net/tests/connection_reuse_test.cpp
@@ -0,0 +1,40 @@
+#include "connection_reuse.h"
+
+#include <iterator>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace lacewing::net;
+
+namespace
+{
+
+struct ReuseCase {
+    char name[40];
+    CompletedResponse response;
+    int reason; ///< -1: the connection is used again
+};
+
+ReuseCase reuseCases[] = {
+    { "whole and identified", {}, -1 },
+    { "ends with its connection", { .endsWithConnection = true }, int(DiscardReason::EndsWithConnection) },
+    { "closed by the server", { .isKeptByServer = false }, int(DiscardReason::ServerCloses) },
+    { "bytes after the response", { .hasExtraBytes = true }, int(DiscardReason::ExtraBytes) },
+    { "request not written in full", { .isRequestWritten = false }, int(DiscardReason::RequestUnfinished) },
+    { "not identified", { .isIdentified = false }, int(DiscardReason::Unidentified) },
+    { "not identified, extra bytes", { .hasExtraBytes = true, .isIdentified = false }, int(DiscardReason::ExtraBytes) },
+};
+
+} // namespace
+
+ParameterizedTestParameters(connectionReuse, onlyCertainlyUnusedConnections)
+{
+    return cr_make_param_array(ReuseCase, reuseCases, std::size(reuseCases));
+}
+
+ParameterizedTest(ReuseCase *test, connectionReuse, onlyCertainlyUnusedConnections)
+{
+    const auto reason = whyNotReusable(test->response);
+    cr_assert_eq(reason ? int(*reason) : -1, test->reason, "%s: %d", test->name, reason ? int(*reason) : -1);
+}
--- a/tools/gateway/src/attempt.h
+++ b/tools/gateway/src/attempt.h
@@ -36,6 +36,17 @@
         return {};
     }
 
+    /** Returns the connection to the endpoint on which the request was sent; 0 until it ends, or if a relay sends it.
+     */
+    net::ConnectionNumber connection() const noexcept
+    {
+        return connection_;
+    }
+    /** Returns the number of calls that the connection had carried before. */
+    std::uint32_t earlierCalls() const noexcept
+    {
+        return earlierCalls_;
+    }
     bool isOpen() const noexcept
     {
         return isOpen_;
@@ -93,6 +104,8 @@
     std::optional<Duration> timeToFirstByte_;
     net::HttpHead head_;
     userplatform::ResponseMetadata facts_;
+    net::ConnectionNumber connection_;
+    std::uint32_t earlierCalls_ = 0;
     bool isOpen_ = true;
 };
 
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -54,12 +54,14 @@
     , notices(endpointNotices)
     , reachability(endpointReachability)
     , poisonRequests(poisonRequestGuard)
+    , connectionLog(context)
     , client(context.loop,
              net::HttpClientOptions()
                  .maxPerAddress(maxConnectionsPerEndpoint)
                  .keepIdle(idleTimeout)
                  .maxBodyBytes(maxResponseBytes)
-                 .reuseOnlyIdentified(true))
+                 .reuseOnlyIdentified(true)
+                 .observer([this](const net::HttpClientEvent &event) { connectionLog.write(event); }))
     , callCounter(context.metrics.counter({ "piece_calls", "Calls to endpoints of stages" }))
     , pieceCounter(context.metrics.counter({ "pieces", "Pieces in calls to endpoints of stages" }))
     , fullnessHistogram(context.metrics.histogram(
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "endpoint_connection_log.h"
 #include "endpoint_reachability.h"
 #include "fleet_links.h"
 #include "fleet_state.h"
@@ -45,6 +46,7 @@
     EndpointNotices &notices;
     EndpointReachability &reachability;
     PoisonRequestGuard &poisonRequests;
+    EndpointConnectionLog connectionLog;
     net::HttpClient client; ///< connects to endpoints of stages
     stages::AnswerHistory answers; ///< of these endpoints
     telemetry::Counter callCounter;
--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -94,6 +94,8 @@
 void EndpointAttempt::handleEnd(const net::HttpEnd &end)
 {
     call_ = {};
+    connection_ = end.connection;
+    earlierCalls_ = end.earlierCalls;
     if (end.error && end.error->kind == ErrorKind::Unreachable) {
         shared_.reachability.onConnectFailed(endpoint_);
     }
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -34,14 +34,15 @@
         .idleTime(callerIdleTimeout);
 }
 
-net::HttpClientOptions endpointOptions(const Context &context)
+net::HttpClientOptions endpointOptions(const Context &context, EndpointConnectionLog &log)
 {
     const std::size_t descriptors = context.settings.maxFileDescriptors / 2;
     return net::HttpClientOptions()
         .maxPerAddress(maxConnectionsPerEndpoint)
         .maxConnections(std::max<std::size_t>(descriptors, reservedLinkDescriptors) - reservedLinkDescriptors / 2)
         .keepIdle(8s)
-        .reuseOnlyIdentified(true);
+        .reuseOnlyIdentified(true)
+        .observer([&log](const net::HttpClientEvent &event) { log.write(event); });
 }
 
 } // namespace
@@ -58,7 +59,8 @@
           [this] { handleStateChange(); },
           [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); })
     , notices_(context, links_, state_)
-    , client_(context.loop, endpointOptions(context))
+    , connectionLog_(context)
+    , client_(context.loop, endpointOptions(context, connectionLog_))
     , reachability_(context, state_, notices_, client_, random_.next(), [this] { handleReachabilityChange(); })
     , relayPeers_(context, links_, notices_, random_.next())
     , poisonPrompts_(context, links_, state_, random_.next(), [this] { handlePartsQuarantined(); })
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "decision_log.h"
+#include "endpoint_connection_log.h"
 #include "endpoint_notices.h"
 #include "endpoint_reachability.h"
 #include "fleet_links.h"
@@ -48,6 +49,7 @@
     FleetLinks links_;
     FleetState state_;
     EndpointNotices notices_;
+    EndpointConnectionLog connectionLog_;
     net::HttpClient client_;
     EndpointReachability reachability_;
     RelayPeers relayPeers_;
--- a/tools/gateway/src/relay_service.cpp
+++ b/tools/gateway/src/relay_service.cpp
@@ -280,6 +280,8 @@
                                   { { "request", metadata_.id },
                                     { "outcome", reason },
                                     { "status", attempt_ ? attempt_->head().status : 0 },
+                                    { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() },
+                                    { "connection", attempt_ ? attempt_->connection() : net::ConnectionNumber() },
                                     { "in_flight", service_.limit_.inFlight() } },
                                   shared_.context.now());
         shared_.context.loop.timers().cancel(deadlineTimer_);
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -392,6 +392,15 @@
 
 void RequestHandler::handleNotRun()
 {
+    shared_.decisionLog.write("request rejected by endpoint",
+                              { { "request", facts_.id },
+                                { "endpoint", attempt_->endpoint() },
+                                { "relay", attempt_->relay() },
+                                { "status", attempt_->head().status },
+                                { "connection", attempt_->connection() },
+                                { "earlier_calls", attempt_->earlierCalls() },
+                                { "ms", toMilliseconds(attempt_->timeToFirstByte().value_or(Duration::zero())) } },
+                              now());
     const bool isWrongEndpoint = attempt_->facts().isMisdirected;
     const bool lacksInputs = attempt_->head().status == net::status::conflict;
     closeAttempt(attempt_->outcome(facts_.id));
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -462,6 +462,7 @@
           { "first_byte_ms", timeToFirstByte ? toMilliseconds(*timeToFirstByte) : -1 },
           { "attempts", attemptCount_ },
           { "endpoint", attempt_ ? attempt_->endpoint() : EndpointId() },
+          { "connection", attempt_ ? attempt_->connection() : net::ConnectionNumber() },
           { "relay", attempt_ ? attempt_->relay() : VmId() },
           { "software_version", attempt_ ? toText(attempt_->entry().softwareVersion) : std::string() },
           { "resumes", facts_.resumedRequest.value_or(stages::RequestId()) },
