--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -334,7 +334,9 @@
     bool connectOnly = false; ///< sends nothing: sets up a fresh connection, which is pooled, and ends
     /**
      * A header that the server repeats in its response. A response with another value belongs to an earlier request of
-     * the connection and is passed over; one without the header is taken. See HttpClientOptions::reuseOnlyIdentified().
+     * the connection and is passed over; one without the header is taken. A connection carries each value once, as a
+     * late copy of a response would be taken for the response to a call with the same value. See
+     * HttpClientOptions::reuseOnlyIdentified().
      */
     std::optional<Header> echo;
 };
@@ -405,6 +407,7 @@
     BytesWhileIdle, ///< bytes have arrived while no call was in progress
     RequestUnfinished, ///< the response came before the whole request was sent
     Unidentified, ///< the response may belong to another call, see HttpClientOptions::reuseOnlyIdentified()
+    TooManyCalls, ///< the connection has carried as many calls as it can tell apart
 };
 std::string_view toText(DiscardReason reason);
 
@@ -426,7 +429,11 @@
     int status; ///< of its last response
     DiscardReason reason;
 };
-using HttpClientEvent = std::variant<ResponsePassedOver, ConnectionDiscarded>;
+/** A call is not sent on an idle connection, which has carried a call with the same HttpCall::echo. */
+struct ConnectionAvoided {
+    ConnectionInfo connection; ///< with the value of the new call
+};
+using HttpClientEvent = std::variant<ResponsePassedOver, ConnectionDiscarded, ConnectionAvoided>;
 
 /** Bounds of an HttpClient; each setter returns the options for chaining. */
 class HttpClientOptions
@@ -451,7 +458,8 @@
     HttpClientOptions &defaultHeaders(Headers headers);
     /**
      * Whether a connection is used again only after a response that certainly belonged to its call: it repeated
-     * HttpCall::echo, or HttpHandlers::isIdentified said so. For servers that may send a response twice. Default false.
+     * HttpCall::echo, or HttpHandlers::isIdentified said so. A call with neither gets a fresh connection. For servers
+     * that may send a response twice. Default false.
      */
     HttpClientOptions &reuseOnlyIdentified(bool isRequired);
     /** Called for each event; must not call the client. Default none. */
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -46,7 +46,9 @@
         endLater({ ErrorKind::InvalidArgument, "the request can't be written" });
         return;
     }
-    connection_ = call_.connectOnly ? nullptr : pool_.takeIdle(call_.address, call_.repeatable);
+    // Without anything that identifies its response, a call would take a late copy of another one for it.
+    const bool isIdentifiable = call_.echo || handlers_.isIdentified || !pool_.options().reuseOnlyIdentified();
+    connection_ = call_.connectOnly || !isIdentifiable ? nullptr : pool_.takeIdle(call_);
     if (!connection_) {
         connectFresh();
         return;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -137,6 +137,9 @@
                             ConnectionListener &listener)
 {
     echo_ = std::move(echo);
+    if (echo_) {
+        carriedIds_.add(echo_->value);
+    }
     writing_ = true;
     listener_ = &listener;
     headOnly_ = headOnly;
@@ -313,6 +316,7 @@
     response.endsWithConnection = parser_->need_eof();
     response.hasExtraBytes = input_.size() > 0;
     response.isRequestWritten = !writing_;
+    response.canCarryMore = !carriedIds_.isFull();
     noteKeepAlive();
     listener_->completed(response);
 }
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -114,6 +114,11 @@
     {
         return parser_ ? parser_->head.status : 0;
     }
+    /** The echo values of the calls sent on the connection. */
+    const CarriedIds &carriedIds() const noexcept
+    {
+        return carriedIds_;
+    }
     /** Number of calls sent on the connection. */
     std::uint32_t callCount() const noexcept
     {
@@ -145,6 +150,7 @@
     std::optional<ResponseParser> parser_;
     std::string request_;
     std::uint32_t callCount_ = 0;
+    CarriedIds carriedIds_;
     Time idleSince_;
     bool open_ = true;
     bool reading_ = false;
--- a/libs/net/src/client_pool.cpp
+++ b/libs/net/src/client_pool.cpp
@@ -26,23 +26,35 @@
     closeIdle();
 }
 
-ClientPool::ConnectionPtr ClientPool::takeIdle(const std::string &address, bool repeatable)
+ClientPool::ConnectionPtr ClientPool::takeIdle(const HttpCall &call)
 {
-    const auto found = shared_->addresses.find(address);
-    if (found == shared_->addresses.end() || found->second.idle.empty()) {
+    const auto found = shared_->addresses.find(call.address);
+    if (found == shared_->addresses.end()) {
         return nullptr;
     }
     auto &idle = found->second.idle;
-    const Duration age = loop_.clock().now() - idle.back()->idleSince();
-    const Duration trusted = idle.back()->keptFor().value_or(repeatable ? options_.keepIdle() : options_.trustIdle());
-    const Duration limit = std::min(trusted, options_.keepIdle());
-    if (age > limit) {
-        return nullptr;
+    // The connection used last comes first, so that those that are not needed grow old.
+    for (auto entry = idle.end(); entry != idle.begin();) {
+        --entry;
+        const auto &candidate = *entry;
+        const Duration age = loop_.clock().now() - candidate->idleSince();
+        const Duration trusted =
+            candidate->keptFor().value_or(call.repeatable ? options_.keepIdle() : options_.trustIdle());
+        if (age > std::min(trusted, options_.keepIdle())) {
+            return nullptr;
+        }
+        if (call.echo && candidate->carriedIds().contains(call.echo->value)) {
+            auto info = candidate->info();
+            info.echo = call.echo->value;
+            options_.notify(ConnectionAvoided { info });
+            continue;
+        }
+        auto connection = std::move(*entry);
+        idle.erase(entry);
+        --counters().idleConnections;
+        return connection;
     }
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    --counters().idleConnections;
-    return connection;
+    return nullptr;
 }
 
 bool ClientPool::makeRoom(const std::string &address)
--- a/libs/net/src/client_pool.h
+++ b/libs/net/src/client_pool.h
@@ -21,8 +21,8 @@
     ClientPool(const ClientPool &) = delete;
     ClientPool &operator=(const ClientPool &) = delete;
 
-    /** Takes an idle connection out of the pool; null when none may be used. */
-    ConnectionPtr takeIdle(const std::string &address, bool repeatable);
+    /** Takes an idle connection out of the pool for a call; null when none may be used. */
+    ConnectionPtr takeIdle(const HttpCall &call);
     /** Makes a connection that isn't connected yet; null when over a bound. */
     ConnectionPtr open(const std::string &address);
     /** Puts a connection back after a whole response. */
--- a/libs/net/src/connection_reuse.cpp
+++ b/libs/net/src/connection_reuse.cpp
@@ -1,5 +1,7 @@
 #include "connection_reuse.h"
 
+#include <algorithm>
+
 namespace lacewing::net
 {
 
@@ -20,9 +22,22 @@
     if (!response.isIdentified) {
         return DiscardReason::Unidentified;
     }
+    if (!response.canCarryMore) {
+        return DiscardReason::TooManyCalls;
+    }
     return std::nullopt;
 }
 
+void CarriedIds::add(std::string_view id)
+{
+    hashes_.push_back(hashBytes(id));
+}
+
+bool CarriedIds::contains(std::string_view id) const noexcept
+{
+    return std::find(hashes_.begin(), hashes_.end(), hashBytes(id)) != hashes_.end();
+}
+
 std::string_view toText(DiscardReason reason)
 {
     switch (reason) {
@@ -38,6 +53,8 @@
         return "response before the end of the request";
     case DiscardReason::Unidentified:
         return "response not identified";
+    case DiscardReason::TooManyCalls:
+        return "too many calls";
     }
     return "unknown";
 }
--- a/libs/net/tests/client_test.cpp
+++ b/libs/net/tests/client_test.cpp
@@ -1,3 +1,4 @@
+#include "connection_reuse.h"
 #include "http_fixture.h"
 
 #include <cerrno>
@@ -125,22 +126,85 @@
 {
 
 struct EchoReuseCase {
-    char name[32];
-    char responseHeader[32];
+    char name[40];
+    bool hasEcho; ///< whether responses repeat the id of their request
     bool isEchoRequired;
+    char secondId[4]; ///< of the second call; empty: none
     bool isReused;
 };
 
 EchoReuseCase echoReuseCases[] = {
-    { "echo", "X-Id: 7\r\n", true, true },
-    { "no echo", "", true, false },
-    { "no echo, not required", "", false, true },
-    { "echo, not required", "X-Id: 7\r\n", false, true },
+    { "echo", true, true, "8", true },
+    { "no echo", false, true, "8", false },
+    { "no echo, not required", false, false, "8", true },
+    { "echo, not required", true, false, "8", true },
+    { "echo, same id", true, true, "7", false },
+    { "echo, same id, not required", true, false, "7", false },
+    { "echo, second call without an id", true, true, "", false },
+    { "not required, second without an id", true, false, "", true },
 };
 
+/** Rejects each request on any number of connections, and repeats its id if it has one. */
+class RejectingServer
+{
+public:
+    explicit RejectingServer(bool hasEcho)
+        : server_([this, hasEcho](raw::Socket socket, int) {
+            ++connections_;
+            workers_.push_back(std::async(std::launch::async, [socket = std::move(socket), hasEcho] {
+                for (std::string head = socket.read(headEnd); !head.empty(); head = socket.read(headEnd)) {
+                    socket.send(rejectionOf(head, hasEcho));
+                }
+            }));
+        })
+    {
+    }
+
+    std::string address() const
+    {
+        return server_.address();
+    }
+    int connections() const noexcept
+    {
+        return connections_;
+    }
+
+private:
+    static std::string rejectionOf(const std::string &head, bool hasEcho)
+    {
+        const auto id = head.find("X-Id: ");
+        const bool isRepeated = hasEcho && id != std::string::npos;
+        const std::string echo = isRepeated ? head.substr(id, head.find("\r\n", id) - id) + "\r\n" : "";
+        return "HTTP/1.1 503 Full\r\n" + echo + "Content-Length: 0\r\n\r\n";
+    }
+
+    std::atomic<int> connections_ = 0;
+    std::vector<std::future<void>> workers_; ///< one for each connection; end when the client closes it
+    raw::Server server_;
+};
+
+/** Sends calls with some ids one after the other and waits for their responses. */
+void callWithIds(HttpClient &client, EventLoop &loop, const std::string &address, const std::vector<std::string> &ids)
+{
+    for (const auto &id : ids) {
+        HttpCall call;
+        call.address = address;
+        if (!id.empty()) {
+            call.headers = { { "X-Id", id } };
+            call.echo = call.headers.front();
+        }
+        fetch(client, std::move(call), longLimits(), [&](const HttpEnd &end, const HttpResponse &) {
+            cr_assert(!end.error);
+            loop.stop();
+        });
+        loop.run();
+    }
+}
+
 } // namespace
 
-/** A second copy of a response without an id was taken for the response to the next call (issue 44). */
+/** A second copy of a response was taken for the response to a call without its id, or with the same (issues 44, 48).
+ */
 ParameterizedTestParameters(client, connectionsAreReusedAfterAnEchoOnly)
 {
     return cr_make_param_array(EchoReuseCase, echoReuseCases, std::size(echoReuseCases));
@@ -148,26 +212,47 @@
 
 ParameterizedTest(EchoReuseCase *test, client, connectionsAreReusedAfterAnEchoOnly)
 {
-    std::atomic<int> connections = 0;
-    const raw::Server server([&](const raw::Socket &socket, int) {
-        ++connections;
-        const std::string response =
-            std::string("HTTP/1.1 503 Full\r\n") + test->responseHeader + "Content-Length: 0\r\n\r\n";
-        while (!socket.read("\r\n\r\n").empty() && socket.send(response)) { }
-    });
+    const RejectingServer server(test->hasEcho);
     EventLoop loop;
     HttpClient client(loop, HttpClientOptions().reuseOnlyIdentified(test->isEchoRequired));
-    for (int number = 0; number < 2; ++number) {
-        HttpCall call;
-        call.address = server.address();
-        call.echo = Header { "X-Id", "7" };
-        fetch(client, std::move(call), longLimits(), [&](const HttpEnd &end, const HttpResponse &) {
-            cr_assert(!end.error);
-            loop.stop();
-        });
-        loop.run();
+    callWithIds(client, loop, server.address(), { "7", test->secondId });
+    cr_assert_eq(server.connections(), test->isReused ? 1 : 2, "%s", test->name);
+}
+
+Test(client, connectionIsKeptForOtherIdsAlthoughItIsAvoidedForOne)
+{
+    const RejectingServer server(true);
+    EventLoop loop;
+    std::vector<std::string> avoided;
+    const auto observer = [&](const HttpClientEvent &event) {
+        if (const auto *avoidance = std::get_if<ConnectionAvoided>(&event)) {
+            avoided.emplace_back(avoidance->connection.echo);
+        }
+    };
+    HttpClient client(loop, HttpClientOptions().reuseOnlyIdentified(true).observer(observer));
+    callWithIds(client, loop, server.address(), { "1", "2", "1", "3", "2", "4", "4" });
+    cr_assert_eq(server.connections(), 2); // each of them carries ids that the other one has carried
+    cr_assert(avoided == (std::vector<std::string> { "1", "4" }), "%zu", avoided.size());
+}
+
+Test(client, connectionIsRetiredOnceItsIdsCannotBeToldApart)
+{
+    const RejectingServer server(true);
+    EventLoop loop;
+    std::vector<DiscardReason> reasons;
+    const auto observer = [&](const HttpClientEvent &event) {
+        if (const auto *discarded = std::get_if<ConnectionDiscarded>(&event)) {
+            reasons.push_back(discarded->reason);
+        }
+    };
+    HttpClient client(loop, HttpClientOptions().reuseOnlyIdentified(true).observer(observer));
+    std::vector<std::string> ids;
+    for (std::size_t number = 0; number <= CarriedIds::capacity; ++number) {
+        ids.push_back(std::to_string(number));
     }
-    cr_assert_eq(connections, test->isReused ? 1 : 2, "%s", test->name);
+    callWithIds(client, loop, server.address(), ids);
+    cr_assert_eq(server.connections(), 2);
+    cr_assert(reasons == std::vector { DiscardReason::TooManyCalls });
 }
 
 Test(client, totalLimitEndsASlowResponse)
--- a/libs/net/tests/connection_reuse_test.cpp
+++ b/libs/net/tests/connection_reuse_test.cpp
@@ -1,6 +1,7 @@
 #include "connection_reuse.h"
 
 #include <iterator>
+#include <string>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -23,6 +24,7 @@
     { "bytes after the response", { .hasExtraBytes = true }, int(DiscardReason::ExtraBytes) },
     { "request not written in full", { .isRequestWritten = false }, int(DiscardReason::RequestUnfinished) },
     { "not identified", { .isIdentified = false }, int(DiscardReason::Unidentified) },
+    { "too many calls", { .canCarryMore = false }, int(DiscardReason::TooManyCalls) },
     { "not identified, extra bytes", { .hasExtraBytes = true, .isIdentified = false }, int(DiscardReason::ExtraBytes) },
 };
 
@@ -38,3 +40,18 @@
     const auto reason = whyNotReusable(test->response);
     cr_assert_eq(reason ? int(*reason) : -1, test->reason, "%s: %d", test->name, reason ? int(*reason) : -1);
 }
+
+Test(carriedIds, knowsAllThatWereAdded)
+{
+    CarriedIds ids;
+    for (std::size_t number = 0; number < CarriedIds::capacity; ++number) {
+        cr_assert(!ids.isFull());
+        cr_assert(!ids.contains("id-" + std::to_string(number)));
+        ids.add("id-" + std::to_string(number));
+    }
+    cr_assert(ids.isFull());
+    for (std::size_t number = 0; number < CarriedIds::capacity; ++number) {
+        cr_assert(ids.contains("id-" + std::to_string(number)));
+    }
+    cr_assert(!ids.contains(""));
+}
--- a/tools/gateway/src/endpoint_connection_log.cpp
+++ b/tools/gateway/src/endpoint_connection_log.cpp
@@ -10,6 +10,8 @@
           { "endpoint_answers_passed_over", "Answers of endpoints to another request than the one in progress" }))
     , discardedCounter_(context.metrics.counter(
           { "endpoint_connections_discarded", "Connections to endpoints not used again after a whole answer" }))
+    , avoidedCounter_(context.metrics.counter(
+          { "endpoint_connections_avoided", "Connections not used for a request that they had carried before" }))
 {
 }
 
@@ -30,6 +32,16 @@
                context_.now());
 }
 
+void EndpointConnectionLog::write(const net::ConnectionAvoided &event)
+{
+    avoidedCounter_.add();
+    log_.write("connection has carried the request",
+               { { "request", event.connection.echo },
+                 { "address", event.connection.address },
+                 { "connection", event.connection.number } },
+               context_.now());
+}
+
 void EndpointConnectionLog::write(const net::ConnectionDiscarded &event)
 {
     discardedCounter_.add();
--- a/tools/gateway/src/endpoint_connection_log.h
+++ b/tools/gateway/src/endpoint_connection_log.h
@@ -17,11 +17,13 @@
 private:
     void write(const net::ResponsePassedOver &event);
     void write(const net::ConnectionDiscarded &event);
+    void write(const net::ConnectionAvoided &event);
 
     Context &context_;
     DecisionLog log_;
     telemetry::Counter passedOverCounter_;
     telemetry::Counter discardedCounter_;
+    telemetry::Counter avoidedCounter_;
 };
 
 } // namespace lacewing::gateway
