--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -137,6 +137,13 @@
     Duration expectedDuration {};
 };
 
+/** Which call an answer with results belongs to. */
+enum class AnswerOwner : std::uint8_t {
+    ThisCall,
+    EitherCall, ///< this call or an earlier one for the same pieces, whose results serve as well
+    EarlierCall, ///< an earlier call for other pieces
+};
+
 /**
  * Recognizes second copies of answers to calls for pieces.
  *
@@ -147,15 +154,14 @@
 {
 public:
     /**
-     * Records an answer, unless it belongs to an earlier call.
+     * Records an answer, unless it may belong to an earlier call.
      *
      * @param pieces of the call @param firstResult the first result in the answer
-     * @return whether the answer belongs to the call
      */
-    bool record(const routing::EndpointLifetime &endpoint,
-                std::span<const PieceTask> pieces,
-                const ResultHandle &firstResult,
-                Time now);
+    AnswerOwner record(const routing::EndpointLifetime &endpoint,
+                       std::span<const PieceTask> pieces,
+                       const ResultHandle &firstResult,
+                       Time now);
     /** Removes endpoints without recent answers. */
     void expire(Time now);
 
--- a/libs/stages/src/answer_history.cpp
+++ b/libs/stages/src/answer_history.cpp
@@ -22,23 +22,24 @@
 
 } // namespace
 
-bool AnswerHistory::record(const routing::EndpointLifetime &endpoint,
-                           std::span<const PieceTask> pieces,
-                           const ResultHandle &firstResult,
-                           Time now)
+AnswerOwner AnswerHistory::record(const routing::EndpointLifetime &endpoint,
+                                  std::span<const PieceTask> pieces,
+                                  const ResultHandle &firstResult,
+                                  Time now)
 {
     const Answer answer { now, hashBytes(firstResult.text()), hashOf(pieces) };
     auto &answers = answers_[endpoint];
     while (!answers.empty() && now - answers.front().receivedAt > retention) {
         answers.pop_front();
     }
-    const bool isRepeated = std::any_of(answers.begin(), answers.end(), [&](const Answer &earlier) {
-        return earlier.firstResult == answer.firstResult && earlier.call != answer.call;
+    const auto earlier = std::find_if(answers.rbegin(), answers.rend(), [&](const Answer &candidate) {
+        return candidate.firstResult == answer.firstResult;
     });
-    if (!isRepeated) {
+    if (earlier == answers.rend()) {
         answers.push_back(answer);
+        return AnswerOwner::ThisCall;
     }
-    return !isRepeated;
+    return earlier->call == answer.call ? AnswerOwner::EitherCall : AnswerOwner::EarlierCall;
 }
 
 void AnswerHistory::expire(Time now)
--- a/libs/stages/tests/answer_history_test.cpp
+++ b/libs/stages/tests/answer_history_test.cpp
@@ -29,21 +29,21 @@
     AnswerHistory history;
     const auto a = piecesOf("a", 2);
     const auto b = piecesOf("b", 2);
-    cr_assert(history.record(endpoint, a, ResultHandle("h1"), start));
-    cr_assert_not(history.record(endpoint, b, ResultHandle("h1"), start));
-    cr_assert(history.record(endpoint, b, ResultHandle("h3"), start));
-    cr_assert(history.record(endpoint, a, ResultHandle("h4"), start),
+    cr_assert(history.record(endpoint, a, ResultHandle("h1"), start) == AnswerOwner::ThisCall);
+    cr_assert(history.record(endpoint, b, ResultHandle("h1"), start) == AnswerOwner::EarlierCall);
+    cr_assert(history.record(endpoint, b, ResultHandle("h3"), start) == AnswerOwner::ThisCall);
+    cr_assert(history.record(endpoint, a, ResultHandle("h4"), start) == AnswerOwner::ThisCall,
               "only the first result of an answer identifies it");
-    cr_assert(history.record(endpoint, a, ResultHandle("h1"), start), "the same call again");
-    cr_assert_not(history.record(endpoint, b, ResultHandle("h4"), start));
+    cr_assert(history.record(endpoint, a, ResultHandle("h1"), start) == AnswerOwner::EitherCall);
+    cr_assert(history.record(endpoint, b, ResultHandle("h4"), start) == AnswerOwner::EarlierCall);
 }
 
 Test(answerHistory, handlesBelongToOneLifetimeForATime)
 {
     AnswerHistory history;
     const routing::EndpointLifetime next { endpoint.endpoint, Incarnation(2) };
-    cr_assert(history.record(endpoint, piecesOf("a", 1), ResultHandle("h1"), start));
-    cr_assert(history.record(next, piecesOf("b", 1), ResultHandle("h1"), start));
-    cr_assert_not(history.record(endpoint, piecesOf("b", 1), ResultHandle("h1"), start + 10s));
-    cr_assert(history.record(endpoint, piecesOf("b", 1), ResultHandle("h1"), start + 11s));
+    cr_assert(history.record(endpoint, piecesOf("a", 1), ResultHandle("h1"), start) == AnswerOwner::ThisCall);
+    cr_assert(history.record(next, piecesOf("b", 1), ResultHandle("h1"), start) == AnswerOwner::ThisCall);
+    cr_assert(history.record(endpoint, piecesOf("b", 1), ResultHandle("h1"), start + 10s) == AnswerOwner::EarlierCall);
+    cr_assert(history.record(endpoint, piecesOf("b", 1), ResultHandle("h1"), start + 11s) == AnswerOwner::ThisCall);
 }
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -266,15 +266,18 @@
     }
     const auto first = std::find_if(
         results.value().begin(), results.value().end(), [](const auto &result) { return result.handle.has_value(); });
-    const bool hasResult = first != results.value().end();
-    if (hasResult && !shared_.answers.record(inFlight.entry.lifetime(), pieces, *first->handle, now())) {
+    auto owner = stages::AnswerOwner::EitherCall;
+    if (first != results.value().end()) {
+        owner = shared_.answers.record(inFlight.entry.lifetime(), pieces, *first->handle, now());
+    }
+    if (owner == stages::AnswerOwner::EarlierCall) {
         shared_.context.logger.warn(
             "answer of another call",
             { { "service", service_ }, { "endpoint", inFlight.call.endpoint }, { "pieces", pieces.size() } });
         return false;
     }
     inFlight.results = std::move(results.value());
-    return hasResult;
+    return owner == stages::AnswerOwner::ThisCall;
 }
 
 void BatchDispatcher::handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head)
--- a/tools/gateway/tests/extra_answer_test.cpp
+++ b/tools/gateway/tests/extra_answer_test.cpp
@@ -1,6 +1,7 @@
 #include "requests.h"
 
 #include <map>
+#include <set>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -161,3 +162,52 @@
     }
     cr_assert_eq(served, requestCount, "%s: %d", test->name, served);
 }
+
+/** A second answer for pieces that were made again shifted the answers of later calls (issue 48). */
+Test(extraAnswer, repeatedResultsOfTheSamePiecesDoNotShiftLaterAnswers)
+{
+    constexpr Duration workTime = 25ms;
+    constexpr int stagedRequestCount = 12;
+    Harness harness(1);
+    int made = 0;
+    std::set<std::string> seen;
+    harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
+        std::string madeFor;
+        RawEndpoint::Answer answer { { piecesAnswerText(request, [&](const std::string &owner) {
+            madeFor = owner;
+            return "127.0.0.1:1/" + owner + "/" + std::to_string(++made);
+        }) } };
+        answer.partDelay = workTime;
+        if (isPiecesCall(request) && seen.insert(madeFor).second) {
+            answer.extraBeforeNext = answer.parts.front();
+        }
+        return answer;
+    });
+    int arrivals = 0;
+    std::vector<Endpoint *> engines;
+    for (const char *id : { "g1", "g2" }) {
+        auto &engine = harness.addEndpoint(id, "engine", Endpoint::Behaviour::Stream);
+        engine.setBehaviour([&arrivals] {
+            return ++arrivals % 2 == 1 ? Endpoint::Behaviour::RejectMissingInputs : Endpoint::Behaviour::Stream;
+        });
+        engines.push_back(&engine);
+    }
+    const RouteSpec route {
+        .name = "drawn", .kind = RouteKind::Stream, .service = "engine", .stages = { { "first", {} } }
+    };
+    harness.store().publishDesiredState(makeState(1, { route }));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 3);
+    int served = 0;
+    for (int number = 1; number <= stagedRequestCount; ++number) {
+        const std::string id = "request-" + std::to_string(number) + "-";
+        served += harness.sendAndWait(0, "POST", "/drawn/x", stagedHeaders(id, { 1 }), "b").status == 200 ? 1 : 0;
+    }
+    for (const auto *engine : engines) {
+        for (const auto &received : engine->receivedRequests()) {
+            const std::string own = "127.0.0.1:1/" + received.requestId() + "/";
+            cr_assert(received.inputs().starts_with(own), "%s: %s", own.c_str(), received.inputs().c_str());
+        }
+    }
+    cr_assert_eq(served, stagedRequestCount, "%d", served);
+}
