--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -24,7 +24,7 @@
 constexpr Duration releaseTimeout = 2s;
 /** Minimum interval between timed scheduler runs. */
 constexpr Duration minRecheckInterval = 20ms;
-/** Connections to one endpoint: a few concurrent calls and the release calls. */
+/** Connections to one endpoint, for calls and for releases each. */
 constexpr std::size_t maxConnectionsPerEndpoint = 16;
 constexpr Duration idleTimeout = 4s;
 /** Maximum size of a response: a handle or reason for each piece of a call. */
@@ -40,6 +40,16 @@
     return buckets;
 }
 
+net::HttpClientOptions clientOptions(EndpointConnectionLog &log)
+{
+    return net::HttpClientOptions()
+        .maxPerAddress(maxConnectionsPerEndpoint)
+        .keepIdle(idleTimeout)
+        .maxBodyBytes(maxResponseBytes)
+        .reuseOnlyIdentified(true)
+        .observer([&log](const net::HttpClientEvent &event) { log.write(event); });
+}
+
 } // namespace
 
 BatchDispatcherContext::BatchDispatcherContext(Context &processContext,
@@ -55,13 +65,8 @@
     , reachability(endpointReachability)
     , poisonRequests(poisonRequestGuard)
     , connectionLog(context)
-    , client(context.loop,
-             net::HttpClientOptions()
-                 .maxPerAddress(maxConnectionsPerEndpoint)
-                 .keepIdle(idleTimeout)
-                 .maxBodyBytes(maxResponseBytes)
-                 .reuseOnlyIdentified(true)
-                 .observer([this](const net::HttpClientEvent &event) { connectionLog.write(event); }))
+    , client(context.loop, clientOptions(connectionLog))
+    , releaseClient(context.loop, clientOptions(connectionLog))
     , callCounter(context.metrics.counter({ "piece_calls", "Calls to endpoints of stages" }))
     , pieceCounter(context.metrics.counter({ "pieces", "Pieces in calls to endpoints of stages" }))
     , fullnessHistogram(context.metrics.histogram(
@@ -430,7 +435,7 @@
             return response->head.status == net::status::ok && !userplatform::holdsResults(response->body);
         };
         shared_.notices.onSend(entry->lifetime());
-        shared_.client.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
+        shared_.releaseClient.start(userplatform::makeReleaseCall(*entry, handles), limits, std::move(handlers));
     }
     if (firstReturn) {
         scheduleReleases(std::max(*firstReturn, now() + releaseDelay));
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -48,6 +48,7 @@
     PoisonRequestGuard &poisonRequests;
     EndpointConnectionLog connectionLog;
     net::HttpClient client; ///< connects to endpoints of stages
+    net::HttpClient releaseClient; ///< the same, as answers to releases can't be told from copies
     stages::AnswerHistory answers; ///< of these endpoints
     telemetry::Counter callCounter;
     telemetry::Counter pieceCounter;
--- a/tools/gateway/tests/extra_answer_test.cpp
+++ b/tools/gateway/tests/extra_answer_test.cpp
@@ -211,3 +211,42 @@
     }
     cr_assert_eq(served, stagedRequestCount, "%d", served);
 }
+
+/** A second answer to a release was taken for the answer to a call for pieces, whose results were lost (issue 48). */
+Test(extraAnswer, repeatedReleaseIsNotTakenForTheAnswerToACallForPieces)
+{
+    constexpr Duration workTime = 10ms;
+    Harness harness(1);
+    int made = 0;
+    std::map<std::string, int> calls;
+    harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
+        if (isReleaseCall(request)) {
+            RawEndpoint::Answer answer { { answerText({}, {}) } };
+            answer.extraBeforeNext = answer.parts.front();
+            return answer;
+        }
+        RawEndpoint::Answer answer { { piecesAnswerText(request, [&](const std::string &owner) {
+            ++calls[owner];
+            return "127.0.0.1:1/" + owner + "/" + std::to_string(++made);
+        }) } };
+        answer.partDelay = workTime;
+        return answer;
+    });
+    harness.addEndpoint("g1", "engine", Endpoint::Behaviour::Stream);
+    const RouteSpec route {
+        .name = "drawn", .kind = RouteKind::Stream, .service = "engine", .stages = { { "first", {} } }
+    };
+    harness.store().publishDesiredState(makeState(1, { route }));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    int served = 0;
+    for (int number = 1; number <= requestCount; ++number) {
+        const std::string id = "request-" + std::to_string(number) + "-";
+        served += harness.sendAndWait(0, "POST", "/drawn/x", stagedHeaders(id, { 1 }), "b").status == 200 ? 1 : 0;
+        harness.runFor(30ms); // until the results have been released
+    }
+    cr_assert_eq(served, requestCount, "%d", served);
+    for (const auto &[id, count] : calls) {
+        cr_assert_eq(count, 1, "%s was called for %d times", id.c_str(), count);
+    }
+}
