--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -408,6 +408,7 @@
     RequestUnfinished, ///< the response came before the whole request was sent
     Unidentified, ///< the response may belong to another call, see HttpClientOptions::reuseOnlyIdentified()
     TooManyCalls, ///< the connection has carried as many calls as it can tell apart
+    TooOld, ///< see HttpClientOptions::maxAge()
 };
 std::string_view toText(DiscardReason reason);
 
@@ -445,6 +446,8 @@
     HttpClientOptions &maxConnections(std::size_t count);
     /** Time after which an unused connection is closed. Default 15 s. */
     HttpClientOptions &keepIdle(Duration time);
+    /** Time since its start after which a connection carries no further call; 0 is none. Default none. */
+    HttpClientOptions &maxAge(Duration age);
     /**
      * A call that isn't repeatable uses a pooled connection only this long after its last use, unless the server has
      * announced with Keep-Alive how long it keeps it. Default 250 ms.
@@ -477,6 +480,10 @@
     {
         return keepIdle_;
     }
+    Duration maxAge() const noexcept
+    {
+        return maxAge_;
+    }
     Duration trustIdle() const noexcept
     {
         return trustIdle_;
@@ -509,6 +516,7 @@
     std::size_t maxPerAddress_ = 256;
     std::size_t maxConnections_ = 4096;
     Duration keepIdle_ = std::chrono::seconds(15);
+    Duration maxAge_ = Duration::zero();
     Duration trustIdle_ = std::chrono::milliseconds(250);
     std::size_t maxHeaderBytes_ = std::size_t(16) << 10U;
     std::size_t maxBodyBytes_ = std::size_t(64) << 20U;
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -148,6 +148,7 @@
     written_ = true;
     const auto connection = std::exchange(connection_, nullptr);
     response.isIdentified = isIdentified(*connection);
+    response.isYoung = loop_.clock().now() < limitFrom(connection->openedAt(), pool_.options().maxAge());
     if (const auto reason = whyNotReusable(response)) {
         pool_.options().notify(ConnectionDiscarded { connection->info(), connection->status(), *reason });
         pool_.discard(connection);
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -78,6 +78,7 @@
     , address_(std::move(address))
     , number_(number)
     , onGone_(std::move(onGone))
+    , openedAt_(loop.clock().now())
 {
 }
 
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -91,6 +91,10 @@
     bool mayHaveWritten() const noexcept;
     /** Whether the response just completed repeats the value that identifies its request. */
     bool hasEcho() const;
+    Time openedAt() const noexcept
+    {
+        return openedAt_;
+    }
     Time idleSince() const noexcept
     {
         return idleSince_;
@@ -151,6 +155,7 @@
     std::string request_;
     std::uint32_t callCount_ = 0;
     CarriedIds carriedIds_;
+    Time openedAt_;
     Time idleSince_;
     bool open_ = true;
     bool reading_ = false;
--- a/libs/net/src/connection_reuse.cpp
+++ b/libs/net/src/connection_reuse.cpp
@@ -25,6 +25,9 @@
     if (!response.canCarryMore) {
         return DiscardReason::TooManyCalls;
     }
+    if (!response.isYoung) {
+        return DiscardReason::TooOld;
+    }
     return std::nullopt;
 }
 
@@ -55,6 +58,8 @@
         return "response not identified";
     case DiscardReason::TooManyCalls:
         return "too many calls";
+    case DiscardReason::TooOld:
+        return "too old";
     }
     return "unknown";
 }
--- a/libs/net/src/connection_reuse.h
+++ b/libs/net/src/connection_reuse.h
@@ -18,6 +18,7 @@
     bool isRequestWritten = true; ///< the whole request was sent before the response ended
     bool isIdentified = true; ///< the response certainly belongs to its call, or the client doesn't ask for that
     bool canCarryMore = true; ///< the connection can tell the next call from all that it has carried
+    bool isYoung = true; ///< the connection is below its maximum age
 };
 
 /** Decides whether a connection is used again, whatever its call was for. @return why not; empty if it is */
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -241,6 +241,12 @@
     return *this;
 }
 
+HttpClientOptions &HttpClientOptions::maxAge(Duration age)
+{
+    maxAge_ = age;
+    return *this;
+}
+
 HttpClientOptions &HttpClientOptions::trustIdle(Duration time)
 {
     trustIdle_ = time;
--- a/libs/net/tests/client_test.cpp
+++ b/libs/net/tests/client_test.cpp
@@ -235,6 +235,26 @@
     cr_assert(avoided == (std::vector<std::string> { "1", "4" }), "%zu", avoided.size());
 }
 
+Test(client, connectionCarriesNoCallBeyondItsMaximumAge)
+{
+    constexpr Duration maxAge = 20ms;
+    const RejectingServer server(true);
+    EventLoop loop;
+    std::vector<DiscardReason> reasons;
+    const auto observer = [&](const HttpClientEvent &event) {
+        if (const auto *discarded = std::get_if<ConnectionDiscarded>(&event)) {
+            reasons.push_back(discarded->reason);
+        }
+    };
+    HttpClient client(loop, HttpClientOptions().maxAge(maxAge).observer(observer));
+    callWithIds(client, loop, server.address(), { "1" });
+    loop.timers().once(loop.clock().now() + maxAge, [&](Time) { loop.stop(); });
+    loop.run();
+    callWithIds(client, loop, server.address(), { "2", "3" });
+    cr_assert_eq(server.connections(), 2);
+    cr_assert(!reasons.empty() && reasons.front() == DiscardReason::TooOld);
+}
+
 Test(client, connectionIsRetiredOnceItsIdsCannotBeToldApart)
 {
     const RejectingServer server(true);
--- a/libs/net/tests/connection_reuse_test.cpp
+++ b/libs/net/tests/connection_reuse_test.cpp
@@ -25,6 +25,7 @@
     { "request not written in full", { .isRequestWritten = false }, int(DiscardReason::RequestUnfinished) },
     { "not identified", { .isIdentified = false }, int(DiscardReason::Unidentified) },
     { "too many calls", { .canCarryMore = false }, int(DiscardReason::TooManyCalls) },
+    { "too old", { .isYoung = false }, int(DiscardReason::TooOld) },
     { "not identified, extra bytes", { .hasExtraBytes = true, .isIdentified = false }, int(DiscardReason::ExtraBytes) },
 };
 
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -153,6 +153,9 @@
 class AnswerHistory
 {
 public:
+    /** Maximum age of connections on which calls for pieces are begun. */
+    static constexpr Duration maxConnectionAge = std::chrono::seconds(30);
+
     /**
      * Records an answer, unless it may belong to an earlier call.
      *
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -45,6 +45,7 @@
     return net::HttpClientOptions()
         .maxPerAddress(maxConnectionsPerEndpoint)
         .keepIdle(idleTimeout)
+        .maxAge(stages::AnswerHistory::maxConnectionAge)
         .maxBodyBytes(maxResponseBytes)
         .reuseOnlyIdentified(true)
         .observer([&log](const net::HttpClientEvent &event) { log.write(event); });
