--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -646,6 +646,7 @@
 struct RawEvent {
     std::string id; ///< its own id; empty: it has none
     std::string bytes;
+    bool isEmpty = false; ///< only comments and empty lines
 };
 
 /** Cuts a stream of bytes after each whole event, so that no part of an event is passed on. */
--- a/libs/net/src/sse.cpp
+++ b/libs/net/src/sse.cpp
@@ -118,6 +118,7 @@
     std::size_t begin = 0;
     while (scanned_ < pending_.size()) {
         const char byte = pending_[scanned_++];
+        const bool isEmpty = !boundary_.isInsideEvent();
         if (!boundary_.feed(byte)) {
             continue;
         }
@@ -127,7 +128,7 @@
         std::string event = pending_.substr(begin, scanned_ - begin);
         begin = scanned_;
         std::string id = findEventId(event);
-        events.push_back({ std::move(id), std::move(event) });
+        events.push_back({ std::move(id), std::move(event), isEmpty });
     }
     pending_.erase(0, begin);
     scanned_ -= begin;
--- a/libs/net/tests/messages_test.cpp
+++ b/libs/net/tests/messages_test.cpp
@@ -135,6 +135,7 @@
     const std::string text =
         "id: 1\ndata: a\n\n: comment\n\nid:2\r\ndata: b\r\n\r\ndata: c\rid: 3\r\rdata: d\n\n: rest\n";
     const std::vector<std::string> ids { "1", "", "2", "3", "" };
+    const std::vector<bool> empty { false, true, false, false, false };
     for (std::size_t split = 0; split <= text.size(); ++split) {
         SseSplitter splitter;
         auto events = splitter.feed(std::string_view(text).substr(0, split));
@@ -143,11 +144,14 @@
         }
         std::string bytes;
         std::vector<std::string> foundIds;
+        std::vector<bool> foundEmpty;
         for (const auto &event : events) {
             bytes += event.bytes;
             foundIds.push_back(event.id);
+            foundEmpty.push_back(event.isEmpty);
         }
         cr_assert(foundIds == ids, "split at %zu", split);
+        cr_assert(foundEmpty == empty, "split at %zu", split);
         cr_assert(!splitter.isInsideEvent());
         cr_assert(bytes + splitter.takeRest() == text, "split at %zu", split);
     }
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 /**
@@ -507,4 +508,62 @@
     std::vector<StreamOrigin> origins_; ///< few, as services have few versions
 };
 
+/** How an event stands to those that the caller of its stream has got, as far as its id tells. */
+enum class EventOrder : std::uint8_t {
+    Next,
+    Repeated, ///< the caller has got it, or one after it
+    Gap, ///< events are missing before it
+    Unidentified, ///< its id doesn't tell where it belongs
+};
+std::string_view toText(EventOrder order) noexcept;
+
+/**
+ * The events of one stream that its caller has got, possibly from several runs.
+ *
+ * Ids increase. Those that are no numbers are only compared for equality.
+ */
+class EventSequence
+{
+public:
+    /** Ids that are no numbers of which a stream may have so many; it isn't continued after that. */
+    static constexpr std::size_t maxTextIds = 4096;
+
+    EventSequence() = default;
+    /** @param id of the event after which the caller has asked for the rest of the stream */
+    explicit EventSequence(std::string_view id);
+
+    /** Expects the next event from another run, which has been asked to go on after lastId(). */
+    void beginRun() noexcept
+    {
+        isRunStart_ = isContinuation_ = !lastId_.empty();
+    }
+    /** Takes the next event, if the caller may get it. @param id empty: it has none */
+    EventOrder take(std::string_view id);
+    /** Returns the id of the last event that has one; empty: there is none. */
+    const std::string &lastId() const noexcept
+    {
+        return lastId_;
+    }
+    /** Returns whether the ids can tell that another run goes on after the last event. */
+    bool canContinue() const noexcept
+    {
+        return !isLastUnidentified_ && textIds_.size() <= maxTextIds;
+    }
+
+private:
+    enum class Steps : std::uint8_t { Unknown, One, Other };
+
+    EventOrder orderOf(std::string_view id) const;
+    EventOrder orderOfNumber(std::uint64_t number) const;
+    void record(std::string_view id);
+
+    std::string lastId_;
+    std::optional<std::uint64_t> lastNumber_; ///< set if lastId_ is a number
+    std::unordered_set<std::uint64_t> textIds_; ///< hashes of the ids that are no numbers
+    Steps steps_ = Steps::One; ///< between the ids, as far as they are numbers
+    bool isRunStart_ = false; ///< the next event is the first of a run that continues the stream
+    bool isContinuation_ = false; ///< the run continues the stream
+    bool isLastUnidentified_ = false;
+};
+
 } // namespace lacewing::routing
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -98,6 +98,9 @@
     clearBufferedBody();
     eventSplitter_ = {};
     eventBoundary_ = {};
+    forwardedEvents_.beginRun();
+    hasForwardedEvent_ = false;
+    isContinuation_ = isHeadForwarded_;
     isAnswerReported_ = false;
 }
 
@@ -114,8 +117,8 @@
     if (route_->kind == RouteKind::Stream) {
         parameters.urgency = std::clamp(baseUrgency + rank(), 0, maxUrgency);
     }
-    if (!lastEventId_.empty()) {
-        parameters.lastEventId = lastEventId_;
+    if (!forwardedEvents_.lastId().empty()) {
+        parameters.lastEventId = forwardedEvents_.lastId();
     }
     return parameters;
 }
@@ -222,13 +225,29 @@
         return;
     }
     phase_ = Phase::Streaming;
-    if (!isHeadForwarded_) {
-        isHeadForwarded_ = true;
-        if (attempt_->head().framing == net::BodyFraming::UntilClose) {
-            forwardedFraming_ = net::BodyFraming::UntilClose;
-        }
-        writer_.begin(attempt_->head().status, userplatform::forwardableHeaders(attempt_->head()), forwardedFraming_);
+    const auto &head = attempt_->head();
+    if (isContinuation_) {
+        return;
+    }
+    isHeadForwarded_ = true;
+    if (head.framing == net::BodyFraming::UntilClose) {
+        forwardedFraming_ = net::BodyFraming::UntilClose;
     }
+    writer_.begin(head.status, userplatform::forwardableHeaders(head), forwardedFraming_);
+}
+
+/** Ends an attempt whose answer is not the rest of the caller's stream. */
+void RequestHandler::breakOffAttempt(std::string_view reason)
+{
+    shared_.decisionLog.write("stream not continued",
+                              { { "request", facts_.id },
+                                { "endpoint", attempt_->endpoint() },
+                                { "relay", attempt_->relay() },
+                                { "reason", reason },
+                                { "status", attempt_->head().status },
+                                { "after_event", forwardedEvents_.lastId() } },
+                              now());
+    handleTransportError({ Error { ErrorKind::Malformed, std::string(reason) }, true, true });
 }
 
 void RequestHandler::handleBody(std::string_view bytes)
@@ -273,9 +292,17 @@
     }
     // Forwards complete events only, so that another engine can resume after the last of them.
     for (const auto &event : eventSplitter_.feed(bytes)) {
-        if (!event.id.empty()) {
-            lastEventId_ = event.id;
+        if (event.isEmpty) {
+            if (!isContinuation_ || hasForwardedEvent_) {
+                forwardBytes(event.bytes);
+            } // else the answer has yet to show that it is the rest of the stream
+            continue;
+        }
+        if (const auto order = forwardedEvents_.take(event.id); order != routing::EventOrder::Next) {
+            breakOffAttempt(toText(order));
+            return;
         }
+        hasForwardedEvent_ = true;
         recordOrigin();
         forwardBytes(event.bytes);
     }
@@ -488,7 +515,8 @@
 bool RequestHandler::retry(std::string_view reason, bool mayHaveRun)
 {
     const bool isAllowed = (!mayHaveRun || route_->isRetryable()) && attemptCount_ < route_->maxAttempts
-        && deadline_ - now() > minTimeToRetry && (!isHeadForwarded_ || route_->isResumable);
+        && deadline_ - now() > minTimeToRetry && (!isHeadForwarded_ || route_->isResumable)
+        && forwardedEvents_.canContinue();
     const bool hasReachedEndpoint = attemptCount_ > 0;
     if (!isAllowed || (hasReachedEndpoint && !shared_.retryBudget(service_).tryAcquireRetry(now()))) {
         return false;
@@ -499,7 +527,7 @@
                                 { "reason", reason },
                                 { "attempts", attemptCount_ },
                                 { "software_version", toText(attempt_->entry().softwareVersion) },
-                                { "after_event", lastEventId_ } },
+                                { "after_event", forwardedEvents_.lastId() } },
                               now());
     if (stages_ && !stages_->hasResults()) {
         // The results were released once the last engine had read them.
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -52,6 +52,9 @@
         return;
     }
     if (isResumption()) {
+        if (facts_.lastEventId) {
+            forwardedEvents_ = routing::EventSequence(*facts_.lastEventId);
+        }
         lookUpOrigin();
         return;
     }
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -77,6 +77,7 @@
     userplatform::ForwardParameters makeForwardParameters() const;
     AttemptHandlers makeAttemptHandlers();
     void handleHead();
+    void breakOffAttempt(std::string_view reason);
     void handleBody(std::string_view bytes);
     void handleAttemptEnd(const net::HttpEnd &end);
     void handleCompleteResponse();
@@ -143,12 +144,14 @@
     bool mayHaveRun_ = false; ///< whether an endpoint may have run the request
     net::SseSplitter eventSplitter_; ///< of the stream of the latest attempt, if it may be resumed
     net::SseBoundary eventBoundary_; ///< of the stream of the latest attempt, if it may not
-    std::string lastEventId_; ///< id of the last event forwarded to the caller
+    routing::EventSequence forwardedEvents_; ///< of a stream that may be resumed
+    bool hasForwardedEvent_ = false; ///< whether an event of the latest attempt was forwarded
     bool areEndpointsConfirmed_ = false; ///< for the next attempt
     /** Where the stream began; empty until an event of it is forwarded, unless the request resumes a stream. */
     std::optional<routing::StreamOrigin> origin_;
     std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
     bool isHeadForwarded_ = false;
+    bool isContinuation_ = false; ///< whether the latest attempt has to go on with a response that has begun
     net::BodyFraming forwardedFraming_ = net::BodyFraming::Chunked; ///< of the stream as the caller gets it
     bool isBodyForwarded_ = false;
 };
