--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -392,6 +392,10 @@
         handleTransportError({ Error { ErrorKind::ConnectionLost, "stream ended within an event" }, true, true });
         return;
     }
+    if (isContinuation_ && !hasForwardedEvent_) {
+        breakOffAttempt("no event"); // nothing tells whether the caller has the last event
+        return;
+    }
     ++attemptCount_;
     closeAttempt(dispatch::SendOutcome::Answered);
     if (eventSplitter_.pendingBytes() > 0) {
--- a/tools/gateway/tests/broken_off_stream_test.cpp
+++ b/tools/gateway/tests/broken_off_stream_test.cpp
@@ -133,6 +133,11 @@
     { "301", "301 Moved", true, "Location: /y\r\n", "", "moved\n\n", false },
     { "200 of another type", "200 OK", true, PLAIN_TEXT, "", "internal error\n\n", false },
     { "200 without a receipt", "200 OK", false, EVENT_STREAM, CHUNKED, "id: 3\ndata: event 3\n\n", false },
+    { "204", "204 No Content", true, "", "", "", false },
+    { "200 without an event", "200 OK", true, EVENT_STREAM, "", "", false },
+    { "200 without an event, in chunks", "200 OK", true, EVENT_STREAM, CHUNKED, "", false },
+    { "200 without an event, until close", "200 OK", true, EVENT_STREAM, UNTIL_CLOSE, "", false },
+    { "200 with a comment only", "200 OK", true, EVENT_STREAM, CHUNKED, ": ping\n\n", false },
     { "200 from the first event on", "200 OK", true, EVENT_STREAM, CHUNKED, "id: 1\ndata: event 1\n\n", false },
     { "200 from the last event on", "200 OK", true, EVENT_STREAM, "", "id: 2\ndata: event 2\n\n", false },
     { "200 that skips an event", "200 OK", true, EVENT_STREAM, CHUNKED, "id: 4\ndata: event 4\n\n", false },
@@ -355,6 +360,7 @@
 
 IdCase idCases[] = {
     { "began again before any event", "", { "" }, { "1 2" }, { "1 2" }, true, true },
+    { "empty after no event", "", { "" }, { "" }, { "" }, false, true },
     { "one event, then a gap", "", { "1" }, { "3" }, { "1" }, false, true },
     { "steps of ten", "", { "10 20" }, { "30 40" }, { "10 20 30 40" }, true, true },
     { "steps of different size", "", { "1 2 5" }, { "9 10" }, { "1 2 5 9 10" }, true, true },
@@ -375,6 +381,7 @@
     { "caller's event, run began again", "4", { "1 2" }, { "5 6" }, { "5 6" }, true, true },
     { "caller's event, run began with it", "4", { "4 5" }, { "5 6" }, { "5 6" }, true, true },
     { "caller's event, both began again", "4", { "1 2" }, { "1 2" }, { "" }, false, true },
+    { "caller's event, empty after no event", "4", { "" }, { "" }, { "" }, false, true },
     { "caller's text, run began with it", "b", { "b c" }, { "c d" }, { "c d" }, true, true },
 };
 
