--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -359,6 +359,9 @@
     std::optional<std::string_view> header(std::string_view name) const noexcept;
 };
 
+/** Returns whether two bodies may be parts of one, as they have the same media type and encoding. */
+bool haveSameRepresentation(const HttpHead &first, const HttpHead &second);
+
 /** Numbers the connections of one client from 1, for logs. */
 using ConnectionNumber = Number<struct ConnectionNumberTag>;
 
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -20,6 +20,26 @@
     return { text.data(), text.size() };
 }
 
+std::string_view trim(std::string_view text) noexcept
+{
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(blanks) + 1);
+}
+
+/** Returns the media type without its parameters, such as the charset; empty if there is none. */
+std::string_view mediaType(const HttpHead &head) noexcept
+{
+    const auto value = head.header("Content-Type").value_or(std::string_view());
+    return trim(value.substr(0, value.find(';')));
+}
+
+std::string_view encoding(const HttpHead &head) noexcept
+{
+    const auto value = trim(head.header("Content-Encoding").value_or(std::string_view()));
+    return boost::beast::iequals(toBeast(value), "identity") ? std::string_view() : value;
+}
+
 /** Decodes percent escapes and the "+" that queries use for a space. */
 std::string decodeQuery(std::string_view text)
 {
@@ -87,6 +107,12 @@
     return findHeader(headers, name);
 }
 
+bool haveSameRepresentation(const HttpHead &first, const HttpHead &second)
+{
+    return boost::beast::iequals(toBeast(mediaType(first)), toBeast(mediaType(second)))
+        && boost::beast::iequals(toBeast(encoding(first)), toBeast(encoding(second)));
+}
+
 Result<SocketAddress> parseAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/libs/net/tests/messages_test.cpp
+++ b/libs/net/tests/messages_test.cpp
@@ -156,3 +156,54 @@
         cr_assert(bytes + splitter.takeRest() == text, "split at %zu", split);
     }
 }
+
+namespace
+{
+
+struct RepresentationCase {
+    char firstType[40];
+    char firstEncoding[12];
+    char secondType[40];
+    char secondEncoding[12];
+    bool isSame;
+};
+
+RepresentationCase representationCases[] = {
+    { "text/event-stream", "", "text/event-stream", "", true },
+    { "text/event-stream", "", "Text/Event-Stream ; charset=utf-8", "", true },
+    { "text/event-stream; a=b", "", "text/event-stream", "identity", true },
+    { "", "", "", "", true },
+    { "text/event-stream", "gzip", "text/event-stream", "GZIP", true },
+    { "text/event-stream", "", "text/plain", "", false },
+    { "text/event-stream", "", "text/event-streams", "", false },
+    { "text/event-stream", "", "", "", false },
+    { "", "", "text/event-stream", "", false },
+    { "text/event-stream", "", "text/event-stream", "gzip", false },
+    { "text/event-stream", "gzip", "text/event-stream", "", false },
+};
+
+HttpHead headOf(const char *type, const char *encoding)
+{
+    HttpHead head;
+    if (*type != 0) {
+        head.headers.push_back({ "content-type", type });
+    }
+    if (*encoding != 0) {
+        head.headers.push_back({ "content-encoding", encoding });
+    }
+    return head;
+}
+
+} // namespace
+
+ParameterizedTestParameters(messages, bodiesThatMayBePartsOfOne)
+{
+    return cr_make_param_array(RepresentationCase, representationCases, std::size(representationCases));
+}
+
+ParameterizedTest(RepresentationCase *test, messages, bodiesThatMayBePartsOfOne)
+{
+    const auto first = headOf(test->firstType, test->firstEncoding);
+    const auto second = headOf(test->secondType, test->secondEncoding);
+    cr_assert_eq(haveSameRepresentation(first, second), test->isSame, "%s, %s", test->firstType, test->secondType);
+}
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -227,9 +227,13 @@
     phase_ = Phase::Streaming;
     const auto &head = attempt_->head();
     if (isContinuation_) {
+        if (!net::haveSameRepresentation(forwardedHead_, head)) {
+            breakOffAttempt("another representation");
+        }
         return;
     }
     isHeadForwarded_ = true;
+    forwardedHead_ = head;
     if (head.framing == net::BodyFraming::UntilClose) {
         forwardedFraming_ = net::BodyFraming::UntilClose;
     }
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -152,6 +152,7 @@
     std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
     bool isHeadForwarded_ = false;
     bool isContinuation_ = false; ///< whether the latest attempt has to go on with a response that has begun
+    net::HttpHead forwardedHead_;
     net::BodyFraming forwardedFraming_ = net::BodyFraming::Chunked; ///< of the stream as the caller gets it
     bool isBodyForwarded_ = false;
 };
--- a/tools/gateway/tests/broken_off_stream_test.cpp
+++ b/tools/gateway/tests/broken_off_stream_test.cpp
@@ -132,6 +132,8 @@
     { "503 with a promise missing", "503 Service Unavailable", true, "", "", "full\n\n", false },
     { "301", "301 Moved", true, "Location: /y\r\n", "", "moved\n\n", false },
     { "200 of another type", "200 OK", true, PLAIN_TEXT, "", "internal error\n\n", false },
+    { "200 of another type, with an event", "200 OK", true, PLAIN_TEXT, CHUNKED, "id: 3\ndata: event 3\n\n", false },
+    { "200 with an encoding", "200 OK", true, EVENT_STREAM "Content-Encoding: gzip\r\n", "", "id: 3\n\n", false },
     { "200 without a receipt", "200 OK", false, EVENT_STREAM, CHUNKED, "id: 3\ndata: event 3\n\n", false },
     { "204", "204 No Content", true, "", "", "", false },
     { "200 without an event", "200 OK", true, EVENT_STREAM, "", "", false },
