--- a/tools/gateway/src/attempt.h
+++ b/tools/gateway/src/attempt.h
@@ -79,6 +79,11 @@
     /** Returns the time since the start or since the last byte of the response. */
     Duration silence() const;
     bool isSuccess() const noexcept;
+    /** Returns whether the endpoint is another one than its registration says. */
+    bool isAtWrongEndpoint() const noexcept
+    {
+        return facts_.isMisdirected && !hasVersionCondition_;
+    }
     /** Returns whether the response is a success with a receipt of the endpoint for this request. */
     bool isAuthentic(const stages::RequestId &request) const;
     /** Returns what an answer without a transport error means for the health of the endpoint. */
@@ -106,6 +111,7 @@
     userplatform::ResponseMetadata facts_;
     net::ConnectionNumber connection_;
     std::uint32_t earlierCalls_ = 0;
+    bool hasVersionCondition_ = false; ///< of the caller, for which an endpoint may turn the request away
     bool isOpen_ = true;
 };
 
--- a/tools/gateway/src/endpoint_attempt.cpp
+++ b/tools/gateway/src/endpoint_attempt.cpp
@@ -23,6 +23,7 @@
 {
     shared_.loadBalancer.onSendStarted(endpoint_.id, workMs_, startedAt_);
     shared_.reachability.onSent(endpoint_);
+    hasVersionCondition_ = userplatform::hasVersionCondition(call.headers);
     net::HttpHandlers handlers;
     const auto weak = weak_from_this();
     handlers.onConnected = [weak] {
@@ -85,7 +86,7 @@
         shared_.loadBalancer.onLoadReported(endpoint_.id, *facts_.load, shared_.context.now());
     }
     shared_.notices.handleResponse(endpoint_, facts_, startedAt_);
-    if (facts_.isMisdirected) {
+    if (isAtWrongEndpoint()) {
         shared_.state.endpoints().exclude(endpoint_.id);
     }
     handlers_.onHead();
--- a/tools/gateway/src/relayed_attempt.cpp
+++ b/tools/gateway/src/relayed_attempt.cpp
@@ -21,6 +21,7 @@
 void RelayedAttempt::start(const RelayRequest &request)
 {
     service_ = request.service;
+    hasVersionCondition_ = userplatform::hasVersionCondition(toHeaders(request.headers));
     shared_.relays.onStarted(relay_);
     const auto weak = weak_from_this();
     peer::CallHandlers handlers;
@@ -112,7 +113,7 @@
     forAllVms.quietTime.reset();
     forAllVms.lacksRoom = false;
     shared_.notices.handleResponse(endpoint_, forAllVms, startedAt_);
-    if (facts_.isMisdirected) {
+    if (isAtWrongEndpoint()) {
         shared_.state.endpoints().exclude(endpoint_.id);
     }
     if (isOpen_) {
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -436,7 +436,7 @@
                                 { "earlier_calls", attempt_->earlierCalls() },
                                 { "ms", toMilliseconds(attempt_->timeToFirstByte().value_or(Duration::zero())) } },
                               now());
-    const bool isWrongEndpoint = attempt_->facts().isMisdirected;
+    const bool isWrongEndpoint = attempt_->isAtWrongEndpoint();
     const bool lacksInputs = attempt_->head().status == net::status::conflict;
     closeAttempt(attempt_->outcome(facts_.id));
     if (!isWrongEndpoint) {
