--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -80,6 +80,9 @@
               notifyChanged();
           },
           [this] { return readsStore_ && !replicas_[Topic::Operator].isStoreLost; })
+    , stateCheck_([this](CoalescedCheck::Outcome onDone) {
+        store_.refresh(Topic::Operator, replicas_[Topic::Operator].end, std::move(onDone));
+    })
     , storeCheck_([this](CoalescedCheck::Outcome onDone) {
         store_.refresh(Topic::Endpoints, replicas_[Topic::Endpoints].end, std::move(onDone));
     })
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -95,6 +95,13 @@
      * @param onDone `isCurrent` is false if neither the store nor a VM that reads it has responded
      */
     void confirmEndpoints(std::function<void(bool isCurrent)> onDone);
+    /**
+     * Returns whether requests have to wait because this process stood still: what has changed meanwhile is not known,
+     * although requests that have arrived meanwhile can be read.
+     */
+    bool isConfirmationPending();
+    /** Calls a function when isConfirmationPending() has ended, which takes a second at most. */
+    void onConfirmed(std::function<void()> function);
     /** Returns whether this process stood still since the endpoint registrations were last confirmed. */
     bool isViewStalled() const noexcept
     {
@@ -169,6 +176,8 @@
     bool isStoreReader() const;
     void startViewCheck(const CoalescedCheck::Outcome &onDone);
     void detectStall();
+    void confirmDesiredState();
+    void releaseWaiting();
     void checkView(int remainingChecks, const CoalescedCheck::Outcome &onDone);
     void askReaders(CoalescedCheck::Outcome onDone);
     bool hasActiveReader() const;
@@ -188,6 +197,7 @@
     std::shared_ptr<const routing::RouteTable> routes_;
     StateExchange stateExchange_;
     BulkResponses recordResponses_;
+    CoalescedCheck stateCheck_; ///< reads the desired state from the store
     CoalescedCheck storeCheck_; ///< reads the endpoint registrations from the store
     CoalescedCheck viewCheck_; ///< the same, or by way of a VM that reads it
     routing::EndpointDirectory endpoints_;
@@ -203,6 +213,9 @@
     bool readsStore_ = false; ///< whether this VM follows the store itself
     StallDetector stallDetector_;
     bool isViewStalled_ = false;
+    bool isDesiredStateStalled_ = false; ///< it has not been confirmed since this process stood still
+    Time confirmationAwaitedUntil_; ///< requests go on without a confirmation then
+    std::vector<std::function<void()>> waiting_; ///< for a confirmation
     Time nextStallConfirmationAt_;
 };
 
--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -20,6 +20,11 @@
 
 /** Minimum interval between confirmations after a stall: longer than one takes if nobody responds. */
 constexpr Duration stallConfirmationInterval = 5s;
+/** Time for which requests wait for a confirmation. A read of the store takes some ms, and is repeated when the
+ * connections did not survive the stall. */
+constexpr Duration maxConfirmationWait = 1s;
+/** Time between attempts to confirm the desired state within it. */
+constexpr Duration stateCheckInterval = 100ms;
 
 } // namespace
 
@@ -90,24 +95,66 @@
     });
 }
 
-/** Has the endpoint registrations confirmed after this process stood still, until that succeeds. */
+/** Has the view confirmed after this process stood still, until that succeeds. */
 void FleetState::detectStall()
 {
+    const Time now = context_.now();
     if (const auto lateness = stallDetector_.update(timeSinceBoot())) {
         isViewStalled_ = true;
-        nextStallConfirmationAt_ = context_.now();
+        isDesiredStateStalled_ = true;
+        nextStallConfirmationAt_ = now;
+        confirmationAwaitedUntil_ = now + maxConfirmationWait;
         context_.logger.warn("process stood still", { { "ms", toMilliseconds(*lateness) } });
+        context_.loop.timers().once(confirmationAwaitedUntil_, [this](Time) { releaseWaiting(); });
     }
-    const Time now = context_.now();
-    if (!isViewStalled_ || now < nextStallConfirmationAt_) {
+    const bool isConfirmed = !isViewStalled_ && !isDesiredStateStalled_;
+    if (isConfirmed || now < nextStallConfirmationAt_) {
         return;
     }
     nextStallConfirmationAt_ = now + stallConfirmationInterval;
     confirmEndpoints([this](bool isCurrent) {
         context_.logger.state("registrations confirmed after a stall", { { "current", isCurrent } });
+        releaseWaiting();
+    });
+    confirmDesiredState();
+}
+
+void FleetState::confirmDesiredState()
+{
+    stateCheck_.request([this](bool isCurrent) {
+        if (isCurrent) {
+            isDesiredStateStalled_ = false;
+            context_.logger.state("desired state confirmed after a stall", {});
+            releaseWaiting();
+        } else if (context_.now() < confirmationAwaitedUntil_) {
+            context_.loop.timers().once(context_.now() + stateCheckInterval, [this](Time) { confirmDesiredState(); });
+        }
     });
 }
 
+bool FleetState::isConfirmationPending()
+{
+    detectStall();
+    return (isViewStalled_ || isDesiredStateStalled_) && context_.now() < confirmationAwaitedUntil_;
+}
+
+void FleetState::onConfirmed(std::function<void()> function)
+{
+    waiting_.push_back(std::move(function));
+    releaseWaiting();
+}
+
+/** Lets the requests go on that wait for a confirmation, unless it is still to come. */
+void FleetState::releaseWaiting()
+{
+    if (isConfirmationPending()) {
+        return;
+    }
+    for (const auto &function : std::exchange(waiting_, {})) {
+        function();
+    }
+}
+
 void FleetState::startViewCheck(const CoalescedCheck::Outcome &onDone)
 {
     checkView(maxViewChecks, onDone);
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -77,7 +77,16 @@
     , callerServer_(context.loop,
                     callerOptions(context),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
-                        std::make_shared<RequestHandler>(shared_, std::move(request), std::move(writer))->start();
+                        const auto handler = std::make_shared<RequestHandler>(shared_, std::move(request), writer);
+                        if (!state_.isConfirmationPending()) {
+                            handler->start();
+                            return;
+                        }
+                        state_.onConfirmed([handler, writer = std::move(writer)] {
+                            if (writer.isOpen()) {
+                                handler->start();
+                            }
+                        });
                     })
     , readinessServer_(context.loop,
                        net::HttpServerOptions().maxConnections(64),
--- a/tools/gateway/src/relay_service.cpp
+++ b/tools/gateway/src/relay_service.cpp
@@ -62,6 +62,8 @@
         sharedParts_ = dispatch::sharedParts(metadata_.promptParts);
         if (service_.isStopped_) {
             refuse("vm leaves");
+        } else if (shared_.state.isConfirmationPending()) {
+            refuse("vm stood still"); // the request may have waited, and its times have run on
         } else if (message_.remainingMs <= 0) {
             refuse("deadline already passed");
         } else if (shared_.reachability.isUnreachable(message_.service)) {
