--- a/tools/gateway/src/piece_codec.cpp
+++ b/tools/gateway/src/piece_codec.cpp
@@ -166,7 +166,7 @@
 PieceOutcome toOutcome(const PieceResult &result)
 {
     PieceOutcome outcome { std::nullopt, result.failure };
-    if (!result.handle.empty()) {
+    if (!result.handle.empty() && userplatform::isUtf8(result.handle)) {
         outcome.result = HeldResult { stages::ResultHandle(result.handle), EndpointId(result.endpoint) };
     }
     return outcome;
--- a/tools/gateway/src/piece_service.cpp
+++ b/tools/gateway/src/piece_service.cpp
@@ -176,6 +176,10 @@
 {
     BatchDispatcher &target = dispatcherFor(routing::ServiceId(message.service), stages::CellId(message.cell));
     for (std::size_t index = 0; index < std::min(message.endpoints.size(), message.handles.size()); ++index) {
+        if (!userplatform::isUtf8(message.handles[index])) {
+            context_.logger.warn("malformed release", { { "service", message.service }, { "cell", message.cell } });
+            continue;
+        }
         target.release({ stages::ResultHandle(message.handles[index]), EndpointId(message.endpoints[index]) });
     }
 }
--- a/tools/gateway/tests/piece_codec_test.cpp
+++ b/tools/gateway/tests/piece_codec_test.cpp
@@ -124,3 +124,28 @@
     cr_assert_eq(decoded.retryAfter, decision.retryAfter);
     cr_assert_eq(decoded.piecesAhead, decision.piecesAhead);
 }
+
+struct HandleCase {
+    char name[30];
+    char handle[12];
+    bool isResult;
+};
+
+HandleCase handleCases[] = {
+    { "handle", "e1/5c1e", true },
+    { "none", "", false },
+    { "Latin-1", "caf\xe9", false },
+    { "cut within a character", "caf\xc3", false },
+};
+
+/** A handle that no call for pieces can carry ended the call for the pieces of other requests too (issue 45, 1). */
+ParameterizedTestParameters(pieceCodec, takesOnlyHandlesThatCanBePassedOn)
+{
+    return cr_make_param_array(HandleCase, handleCases, std::size(handleCases));
+}
+
+ParameterizedTest(HandleCase *test, pieceCodec, takesOnlyHandlesThatCanBePassedOn)
+{
+    const auto outcome = toOutcome({ 0, test->handle, "e1", userplatform::PieceFailure::Failed });
+    cr_assert_eq(outcome.result.has_value(), test->isResult, "%s", test->name);
+}
