--- a/tools/gateway/tests/stalled_view_test.cpp
+++ b/tools/gateway/tests/stalled_view_test.cpp
@@ -9,10 +9,7 @@
 using namespace lacewing::gateway_test;
 using namespace lacewing::platform_standin;
 
-/**
- * Requests that wait at a VM while it stands still, and what has changed meanwhile. The rows of "How old knowledge may
- * be" in docs/design/ON_THE_PLATFORM.md.
- */
+/** What a VM still knows after it stood still; the table in docs/design/STALE_KNOWLEDGE.md. */
 namespace
 {
 
@@ -137,3 +134,145 @@
     cr_assert_eq((*response)->status, net::status::ok, "status %d", (*response)->status);
     cr_assert_eq(endpoint.executionCount(), 2U);
 }
+
+/** A VM that sends for another one does not send on after a stall what nobody awaits any more. */
+Test(stalledView, isNotUsedForRequestsOfOtherVms)
+{
+    constexpr Duration pause = 3s;
+    constexpr Duration settleTime = 500ms;
+    Harness harness(2);
+    harness.enableCuts();
+    auto &endpoint = harness.addEndpoint("plain1", "plain", Endpoint::Behaviour::Respond);
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0, 1 }, "\"endpoint joined\"", 2);
+    harness.waitForLinks();
+    harness.cutOffAndWait(0, { "/unsafe/x" });
+    cr_assert_eq(harness.sendAndWait(0, "POST", "/unsafe/x", headers("before"), "b").status, net::status::ok);
+    const auto executions = endpoint.executionCount();
+
+    harness.signal(1, SIGSTOP);
+    const auto response = harness.sendAsync(0, "POST", "/unsafe/x", headers("during"), "b");
+    harness.runFor(pause);
+    harness.signal(1, SIGCONT);
+    harness.waitFor([&] { return response->has_value(); }, "a response");
+    harness.runFor(settleTime);
+    cr_assert_neq((*response)->status, net::status::ok);
+    cr_assert_eq(endpoint.executionCount(), executions, "executed after status %d", (*response)->status);
+}
+
+namespace
+{
+
+struct PauseCase {
+    char name[20];
+    int pauseMs;
+};
+
+PauseCase pauseCases[] = { { "1 s", 1'000 }, { "3 s", 3'000 }, { "6 s", 6'000 } };
+
+} // namespace
+
+/** A rate limit allows no more after a stall than half a second of it and one request. */
+ParameterizedTestParameters(stalledView, keepsRateLimits)
+{
+    return cr_make_param_array(PauseCase, pauseCases, std::size(pauseCases));
+}
+
+ParameterizedTest(PauseCase *test, stalledView, keepsRateLimits)
+{
+    constexpr double perSecond = 4;
+    constexpr double burstSeconds = 0.5;
+    constexpr Duration observedTime = 250ms;
+    constexpr std::size_t most = 1 + std::size_t(perSecond * (burstSeconds + toSeconds(observedTime)));
+    Harness harness(1);
+    auto &endpoint = harness.addEndpoint("plain1", "plain", Endpoint::Behaviour::Respond);
+    endpoint.nameRateLimit(std::to_string(perSecond));
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 1);
+    harness.sendAndWait(0, "POST", "/safe/x", headers("before"), "b");
+    const auto arrivals = endpoint.arrivalCount();
+
+    harness.signal(0, SIGSTOP);
+    std::vector<std::shared_ptr<std::optional<Response>>> responses;
+    constexpr int waiting = 30;
+    for (int number = 0; number < waiting; ++number) {
+        responses.push_back(harness.sendAsync(0, "POST", "/safe/x", headers("during-" + std::to_string(number)), "b"));
+    }
+    harness.runFor(std::chrono::milliseconds(test->pauseMs));
+    harness.signal(0, SIGCONT);
+    harness.runFor(observedTime);
+    cr_assert_leq(endpoint.arrivalCount() - arrivals, most, "%s", test->name);
+}
+
+/** An endpoint that wants no requests for a time gets none within it because its VM stood still. */
+ParameterizedTestParameters(stalledView, keepsQuietTimes)
+{
+    return cr_make_param_array(PauseCase, pauseCases, std::size(pauseCases));
+}
+
+ParameterizedTest(PauseCase *test, stalledView, keepsQuietTimes)
+{
+    constexpr int margin = 2;
+    const int quietSeconds = test->pauseMs / 1'000 + margin;
+    Harness harness(1);
+    auto &endpoint = harness.addEndpoint("plain1", "plain", Endpoint::Behaviour::Respond);
+    endpoint.rejectWithRetryAfter(std::to_string(quietSeconds));
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 1);
+    cr_assert_eq(harness.sendAndWait(0, "POST", "/safe/x", headers("before"), "b").status, net::status::unavailable);
+    endpoint.rejectWithRetryAfter({});
+    const auto arrivals = endpoint.arrivalCount();
+
+    harness.signal(0, SIGSTOP);
+    const auto during = harness.sendAsync(0, "POST", "/safe/x", headers("during"), "b");
+    harness.runFor(std::chrono::milliseconds(test->pauseMs));
+    harness.signal(0, SIGCONT);
+    harness.waitFor([&] { return during->has_value(); }, "a response");
+    cr_assert_eq((*during)->status, net::status::unavailable, "%s: %d", test->name, (*during)->status);
+    cr_assert_eq(endpoint.arrivalCount(), arrivals, "%s", test->name);
+    harness.waitFor(
+        [&, number = 0]() mutable {
+            const auto id = "after-" + std::to_string(++number);
+            return harness.sendAndWait(0, "POST", "/safe/x", headers(id), "b").status == net::status::ok;
+        },
+        "the end of the quiet time");
+}
+
+/** Requests with stages are served while a VM that batches their pieces stands still, and after it. */
+ParameterizedTestParameters(stalledView, endsNoRoleForGood)
+{
+    return cr_make_param_array(PauseCase, pauseCases, std::size(pauseCases));
+}
+
+ParameterizedTest(PauseCase *test, stalledView, endsNoRoleForGood)
+{
+    constexpr std::size_t vms = 3;
+    Harness harness(vms);
+    for (const char *service : { "engine", "first", "second" }) {
+        harness.addEndpoint(std::string(service) + "1",
+                            service,
+                            std::string_view(service) == "engine" ? Endpoint::Behaviour::Stream
+                                                                  : Endpoint::Behaviour::Respond);
+    }
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0, 1, 2 }, "\"endpoint joined\"", 3 * vms);
+    harness.waitForLinks();
+    int requests = 0;
+    const auto isServed = [&](std::size_t vm) {
+        const auto id = "staged-" + std::to_string(++requests);
+        return harness.sendAndWait(vm, "POST", "/staged/x", stagedHeaders(id, { 1, 1 }), "b").status == net::status::ok;
+    };
+    for (std::size_t stalled = 0; stalled < vms; ++stalled) {
+        harness.signal(stalled, SIGSTOP);
+        harness.runFor(std::chrono::milliseconds(test->pauseMs));
+        const auto other = (stalled + 1) % vms;
+        harness.waitFor([&] { return isServed(other); }, "a request served during the stall");
+        harness.signal(stalled, SIGCONT);
+        harness.waitFor([&] { return isServed(stalled); }, "a request served by the VM that stood still");
+        harness.waitFor([&] { return isServed(other); }, "a request served after the stall");
+    }
+}
