--- a/tools/soak/src/callers.cpp
+++ b/tools/soak/src/callers.cpp
@@ -41,10 +41,21 @@
 
 } // namespace
 
-Callers::Callers(gateway_test::Harness &harness, Promises &promises, std::size_t vms, std::uint64_t seed)
+struct Callers::Request {
+    const Kind *kind = nullptr;
+    std::string id;
+    std::size_t vm = 0;
+    std::uint32_t pieces = 0;
+    std::size_t returns = 0; ///< times that it was sent again
+};
+
+Callers::Callers(
+    gateway_test::Harness &harness, Promises &promises, std::size_t vms, std::uint64_t seed, ReturnHabits returnHabits)
     : harness_(harness)
     , promises_(promises)
+    , vms_(vms)
     , random_(seed)
+    , returnHabits_(returnHabits)
 {
     for (std::size_t vm = 0; vm < vms; ++vm) {
         for (std::size_t index = 0; index < callersPerVm; ++index) {
@@ -64,39 +75,68 @@
 }
 
 void Callers::sendNext(Caller &caller)
+{
+    const Kind &kind = chooseKind(random_);
+    const std::string id = "c" + std::to_string(caller.number) + "-" + std::to_string(++caller.requests);
+    send(caller, { &kind, id, caller.vm, std::uint32_t(kind.hasStages ? 1 + random_.below(3) : 0), 0 });
+}
+
+void Callers::send(Caller &caller, const Request &request)
 {
     if (isStopped_) {
         return;
     }
-    const Kind &kind = chooseKind(random_);
-    const std::string id = "c" + std::to_string(caller.number) + "-" + std::to_string(++caller.requests);
-    platform_standin::RequestSpec spec { .id = id, .apiKey = gateway_test::key, .callerTimeout = callerTimeout };
-    if (kind.hasStages) {
-        spec.pieceCounts = { std::uint32_t(1 + random_.below(3)) };
+    platform_standin::RequestSpec spec { .id = request.id,
+                                         .apiKey = gateway_test::key,
+                                         .callerTimeout = callerTimeout };
+    if (request.kind->hasStages) {
+        spec.pieceCounts = { request.pieces };
     }
     net::HttpCall call;
-    call.address = harness_.callersAddress(caller.vm);
+    call.address = harness_.callersAddress(request.vm);
     call.method = "POST";
-    call.target = kind.target;
+    call.target = request.kind->target;
     call.headers = platform_standin::requestHeaders(spec);
-    call.body = "body of " + id;
-    promises_.onSent(id, kind.repeatable, caller.vm, harness_.loop().clock().now());
+    call.body = "body of " + request.id;
+    promises_.onSent(request.id, request.kind->repeatable, request.vm, harness_.loop().clock().now());
     ++pending_;
     auto outcome = std::make_shared<Outcome>();
     net::HttpHandlers handlers;
     handlers.onHead = [outcome](const net::HttpHead &head) { outcome->status = head.status; };
     handlers.onBody = [outcome](std::string_view bytes) { outcome->body += bytes; };
-    handlers.onDone = [this, outcome, id, &caller](const net::HttpEnd &end) {
+    handlers.onDone = [this, outcome, request, &caller](const net::HttpEnd &end) {
         --pending_;
         outcome->isComplete = !end.error;
-        const bool wasReached = outcome->status != 0;
-        promises_.onOutcome(id, std::move(*outcome), harness_.loop().clock().now());
-        const Duration pause = Duration(std::int64_t(random_.below(std::uint64_t(longestPause.count()))));
-        sendLater(caller, wasReached ? pause : failurePause);
+        const int status = outcome->status;
+        promises_.onOutcome(request.id, std::move(*outcome), harness_.loop().clock().now());
+        if (platform_standin::promisesNotRun(status) && sendAgainLater(caller, request)) {
+            return;
+        }
+        sendLater(caller, status != 0 ? below(longestPause) : failurePause);
     };
     caller.client->start(std::move(call), { callerTimeout, callerTimeout, callerTimeout, 2 * callerTimeout }, handlers);
 }
 
+/** Lets a caller come back with a request that was rejected, or not. @return whether it does */
+bool Callers::sendAgainLater(Caller &caller, Request request)
+{
+    if (request.returns == returnHabits_.most || !random_.chance(returnHabits_.share)) {
+        return false;
+    }
+    ++request.returns;
+    if (random_.chance(returnHabits_.elsewhereShare)) {
+        request.vm = random_.below(vms_);
+    }
+    const Time due = harness_.loop().clock().now() + below(returnHabits_.longestPause);
+    harness_.loop().timers().once(due, [this, &caller, request](Time) { send(caller, request); });
+    return true;
+}
+
+Duration Callers::below(Duration most)
+{
+    return Duration(std::int64_t(random_.below(std::uint64_t(most.count()) + 1)));
+}
+
 void Callers::sendLater(Caller &caller, Duration delay)
 {
     harness_.loop().timers().once(harness_.loop().clock().now() + delay, [this, &caller](Time) { sendNext(caller); });
--- a/tools/soak/src/endpoints.cpp
+++ b/tools/soak/src/endpoints.cpp
@@ -34,17 +34,22 @@
 
 } // namespace
 
-Endpoints::Endpoints(gateway_test::Harness &harness, Promises &promises, std::uint64_t seed, Duration longestStream)
+Endpoints::Endpoints(gateway_test::Harness &harness,
+                     Promises &promises,
+                     std::uint64_t seed,
+                     Duration longestStream,
+                     EndpointSize plainSize)
     : harness_(harness)
     , promises_(promises)
     , random_(seed)
     , longestStream_(longestStream)
+    , plainSize_(plainSize)
 {
     constexpr std::size_t plainSlots = 2;
     constexpr std::size_t engineSlots = 64;
     constexpr std::size_t pieceSlots = 1;
     for (const char *number : { "1", "2", "3", "4", "5" }) {
-        add(std::string("plain-") + number, "plain", plainSlots);
+        add(std::string("plain-") + number, "plain", plainSlots, plainSize.places);
     }
     for (const char *number : { "1", "2", "3" }) {
         add(std::string("engine-") + number, "engine", engineSlots);
@@ -52,9 +57,9 @@
     }
 }
 
-void Endpoints::add(const std::string &id, const std::string &service, std::size_t slots)
+void Endpoints::add(const std::string &id, const std::string &service, std::size_t slots, std::size_t places)
 {
-    states_.push_back(std::make_unique<State>(State { id, service, slots }));
+    states_.push_back(std::make_unique<State>(State { id, service, slots, places }));
     State &state = *states_.back();
     harness_.addRawEndpoint(
         id, service, [this, &state](const net::HttpRequest &request) { return handle(state, request); });
@@ -72,8 +77,9 @@
     if (random_.chance(faults_.closed)) {
         return { { "" }, RawEndpoint::Ending::Close };
     }
-    if (endpoint.running >= endpoint.slots || random_.chance(faults_.rejected)) {
-        return reject(endpoint);
+    returned_ += rejected_.contains({ request.remoteAddress, received.requestId() }) ? 1 : 0;
+    if (endpoint.running >= endpoint.slots + endpoint.places || random_.chance(faults_.rejected)) {
+        return reject(endpoint, received);
     }
     if (isPiecesCall(request)) {
         return makePieces(endpoint, request);
@@ -81,13 +87,70 @@
     return endpoint.service == "engine" ? runStream(endpoint, received) : runPlain(endpoint, received);
 }
 
-Endpoints::Answer Endpoints::reject(State &endpoint)
+Endpoints::Answer Endpoints::reject(State &endpoint, const ReceivedRequest &received)
 {
-    Answer answer { { rejectionText(net::status::unavailable, loadHeader(endpoint.running, endpoint.slots)) } };
-    spoil(answer);
+    constexpr std::array<int, 4> otherStatuses { 429, 408, net::status::badRequest, net::status::conflict };
+    const std::string id = received.requestId();
+    const std::string &connection = received.request.remoteAddress;
+    std::string headers = loadHeader(endpoint.running, endpoint.slots);
+    if (!id.empty() && random_.chance(faults_.identified)) {
+        headers += requestIdHeaderText(id);
+    }
+    int status = net::status::unavailable;
+    if (random_.chance(faults_.varied)) {
+        status = random_.chance(0.5) ? otherStatuses[random_.below(otherStatuses.size())] : status;
+        headers += chooseNotice();
+    }
+    Answer answer { { rejectionText(status, headers) } };
+    std::string copies;
+    if (random_.chance(faults_.copied)) {
+        copies = sendCopies(answer);
+    } else {
+        spoil(answer);
+    }
+    if (!id.empty()) {
+        rejected_.insert({ connection, id });
+        promises_.onRejected(id,
+                             std::to_string(status) + " by " + endpoint.id + " to " + connection + copies,
+                             harness_.loop().clock().now());
+    }
     return answer;
 }
 
+/** Returns a header that a rejection may have, or none. */
+std::string Endpoints::chooseNotice()
+{
+    switch (random_.below(4)) {
+    case 0:
+        return "Connection: close\r\n";
+    case 1:
+        return retryAfterHeaderText("0.05");
+    case 2:
+        return rateLimitHeaderText("200");
+    default:
+        return {};
+    }
+}
+
+/** Lets copies of an answer follow, at any time. @return what happens, for the trace */
+std::string Endpoints::sendCopies(Answer &answer)
+{
+    constexpr std::size_t mostCopies = 3;
+    constexpr Duration longestDelay = 150ms;
+    ++copied_;
+    std::string copies;
+    for (std::size_t count = 1 + random_.below(mostCopies); count > 0; --count) {
+        copies += answer.parts.front();
+    }
+    if (random_.chance(0.25)) {
+        answer.extraBeforeNext = copies;
+        return ", copied with the next answer";
+    }
+    answer.extra = copies;
+    answer.extraDelay = random_.chance(0.1) ? Duration::zero() : between(1ms, longestDelay);
+    return ", copied after " + std::to_string(toMilliseconds(answer.extraDelay)) + " ms";
+}
+
 Endpoints::Answer Endpoints::makePieces(State &endpoint, const net::HttpRequest &call)
 {
     constexpr Duration callTime = 10ms;
@@ -103,14 +166,13 @@
 Endpoints::Answer Endpoints::runPlain(State &endpoint, const ReceivedRequest &received)
 {
     constexpr Duration leastWork = 2ms;
-    constexpr Duration mostWork = 30ms;
     const auto id = received.requestId();
-    promises_.onRun(id, endpoint.id);
+    promises_.onRun(id, endpoint.id, received.request.remoteAddress, harness_.loop().clock().now());
     const auto &request = received.request;
     const std::string body = request.method + " " + request.target + " by " + id + " at " + endpoint.id;
     promises_.onAnswered(id, body);
     Answer answer { { answerText(receiptHeaders(endpoint.id, id), body) } };
-    answer.delay = between(leastWork, mostWork);
+    answer.delay = between(leastWork, plainSize_.longestWork) * std::int64_t(1 + endpoint.running / endpoint.slots);
     occupySlot(endpoint, answer.delay);
     spoil(answer);
     return answer;
@@ -128,7 +190,7 @@
         }
         begin = end + 1;
     }
-    promises_.onRun(id, endpoint.id);
+    promises_.onRun(id, endpoint.id, received.request.remoteAddress, harness_.loop().clock().now());
     // The events are the same for a request that resumes the stream.
     const auto resumed = received.resumedRequest();
     const std::string stream = resumed.empty() ? id : resumed;
--- a/tools/soak/src/endpoints.h
+++ b/tools/soak/src/endpoints.h
@@ -4,6 +4,8 @@
 
 #include <harness.h>
 
+#include <set>
+
 namespace lacewing::soak
 {
 
@@ -14,6 +16,15 @@
     double reset = 0; ///< the connection is reset after the request was run
     double truncated = 0; ///< broken off halfway
     double closed = 0; ///< the connection is closed before the request is run
+    double identified = 0; ///< share of the rejections that repeat the id of their request
+    double varied = 0; ///< share of the rejections with another status than 503, or a notice
+    double copied = 0; ///< share of the rejections of which copies follow
+};
+
+/** How an endpoint takes requests. */
+struct EndpointSize {
+    std::size_t places = 0; ///< requests of a plain service that may wait for a slot
+    Duration longestWork = std::chrono::milliseconds(30); ///< of a plain service
 };
 
 /** Endpoints of all kinds that run requests as a platform's would, and show faults. */
@@ -21,12 +32,26 @@
 {
 public:
     /** @param longestStream time that the longest stream takes */
-    Endpoints(gateway_test::Harness &harness, Promises &promises, std::uint64_t seed, Duration longestStream);
+    Endpoints(gateway_test::Harness &harness,
+              Promises &promises,
+              std::uint64_t seed,
+              Duration longestStream,
+              EndpointSize plainSize);
 
     void setFaults(const EndpointFaults &faults)
     {
         faults_ = faults;
     }
+    /** Returns the number of rejections of which copies followed. */
+    std::size_t copiedCount() const noexcept
+    {
+        return copied_;
+    }
+    /** Returns how often a request came back to a connection on which it had been rejected. */
+    std::size_t returnedCount() const noexcept
+    {
+        return returned_;
+    }
 
 private:
     using Answer = platform_standin::RawEndpoint::Answer;
@@ -34,12 +59,15 @@
         std::string id;
         std::string service;
         std::size_t slots = 0;
-        std::size_t running = 0;
+        std::size_t places = 0;
+        std::size_t running = 0; ///< or waiting
     };
 
-    void add(const std::string &id, const std::string &service, std::size_t slots);
+    void add(const std::string &id, const std::string &service, std::size_t slots, std::size_t places = 0);
     Answer handle(State &endpoint, const net::HttpRequest &request);
-    Answer reject(State &endpoint);
+    Answer reject(State &endpoint, const platform_standin::ReceivedRequest &received);
+    std::string chooseNotice();
+    std::string sendCopies(Answer &answer);
     Answer makePieces(State &endpoint, const net::HttpRequest &call);
     Answer runPlain(State &endpoint, const platform_standin::ReceivedRequest &received);
     Answer runStream(State &endpoint, const platform_standin::ReceivedRequest &received);
@@ -51,6 +79,10 @@
     Promises &promises_;
     Random random_;
     Duration longestStream_;
+    EndpointSize plainSize_;
+    std::set<std::pair<std::string, std::string>> rejected_; ///< connections and requests
+    std::size_t copied_ = 0;
+    std::size_t returned_ = 0;
     EndpointFaults faults_;
     std::vector<std::unique_ptr<State>> states_;
 };
--- a/tools/soak/src/soak.cpp
+++ b/tools/soak/src/soak.cpp
@@ -21,19 +21,35 @@
 
 constexpr std::size_t vmCount = 3;
 /** What happens to VMs, one at a time. */
-enum class VmFault : std::uint8_t { None, Pause, Kill, PlannedStop, Any };
+enum class VmFault : std::uint8_t {
+    None,
+    Pause,
+    Kill,
+    PlannedStop,
+    CutOff, ///< from all endpoints, so that other VMs send its requests
+    Any, ///< of those above but CutOff
+};
 
 struct SoakCase {
     char name[30];
     EndpointFaults endpointFaults;
     VmFault vmFault;
     int longestStreamMs;
+    ReturnHabits returnHabits = {};
+    EndpointSize plainSize = {};
 };
 
 constexpr EndpointFaults noFaults {};
 constexpr EndpointFaults repeatedAnswers { .repeated = 0.2, .rejected = 0.1 };
 constexpr EndpointFaults brokenConnections { .rejected = 0.05, .reset = 0.05, .truncated = 0.05, .closed = 0.05 };
 constexpr EndpointFaults allFaults { 0.05, 0.05, 0.02, 0.02, 0.02 };
+constexpr EndpointFaults copiedRejections { .rejected = 0.3, .identified = 0.9, .varied = 0.2, .copied = 0.5 };
+constexpr EndpointFaults unidentifiedRejections { .rejected = 0.3, .varied = 0.2, .copied = 0.5 };
+constexpr EndpointFaults copiedAndBroken { 0.05, 0.2, 0.02, 0.02, 0.02, 0.9, 0.2, 0.5 };
+constexpr ReturnHabits returnSoon { .share = 0.8, .longestPause = 10ms, .most = 5, .elsewhereShare = 0.2 };
+constexpr ReturnHabits returnLater { .share = 0.8, .longestPause = 400ms, .elsewhereShare = 0.2 };
+/** Small enough to turn requests away for want of room. */
+constexpr EndpointSize smallPlain { .places = 2, .longestWork = 80ms };
 
 SoakCase soakCases[] = {
     { "no faults", noFaults, VmFault::None, 300 },
@@ -44,6 +60,17 @@
     { "planned stops", noFaults, VmFault::PlannedStop, 300 },
     { "planned stops, long streams", noFaults, VmFault::PlannedStop, 4'000 },
     { "everything", allFaults, VmFault::Any, 300 },
+    { "copied rejections, new ids", copiedRejections, VmFault::None, 300, {}, smallPlain },
+    { "rejections without ids", unidentifiedRejections, VmFault::None, 300, returnSoon, smallPlain },
+    { "cut off vms", noFaults, VmFault::CutOff, 300 },
+};
+
+/** Copies of rejections that bear the id of a request that has come back. */
+SoakCase repeatedRejectionCases[] = {
+    { "soon", copiedRejections, VmFault::None, 300, returnSoon, smallPlain },
+    { "later", copiedRejections, VmFault::None, 300, returnLater, smallPlain },
+    { "cut off vms", copiedRejections, VmFault::CutOff, 300, returnSoon, smallPlain },
+    { "everything", copiedAndBroken, VmFault::Any, 300, returnSoon, smallPlain },
 };
 
 /** Seeds for which a promise was broken once. */
@@ -82,9 +109,13 @@
         : test_(test)
         , random_(seed)
         , harness_(vmCount)
-        , endpoints_(harness_, promises_, random_.next(), std::chrono::milliseconds(test.longestStreamMs))
-        , callers_(harness_, promises_, vmCount, random_.next())
+        , endpoints_(
+              harness_, promises_, random_.next(), std::chrono::milliseconds(test.longestStreamMs), test.plainSize)
+        , callers_(harness_, promises_, vmCount, random_.next(), test.returnHabits)
     {
+        if (test.vmFault == VmFault::CutOff) {
+            harness_.enableCuts();
+        }
         harness_.setStopGrace(stopGraceSeconds);
         auto routes = gateway_test::allRoutes();
         routes.push_back({ .name = "drawn",
@@ -111,6 +142,7 @@
         endpoints_.setFaults({});
         callers_.stop();
         harness_.waitFor([&] { return callers_.pending() == 0; }, "the last answers");
+        harness_.runFor(lateRunTime);
         for (std::size_t vm = 0; vm < vmCount; ++vm) {
             if (harness_.hasEnded(vm)) {
                 promises_.onProcessEnded(vm);
@@ -122,11 +154,17 @@
     {
         return promises_;
     }
+    const Endpoints &endpoints() const noexcept
+    {
+        return endpoints_;
+    }
 
 private:
     static constexpr std::size_t endpointCount = 11;
     /** Longer than the time within which a cut request may be excused, or nothing could be lost. */
     static constexpr int stopGraceSeconds = 5;
+    /** Time in which a request that was rejected might still run. */
+    static constexpr Duration lateRunTime = 500ms;
 
     Time now()
     {
@@ -154,6 +192,11 @@
         case VmFault::None:
         case VmFault::Any:
             break;
+        case VmFault::CutOff:
+            harness_.cutOff(vm, chooseCut());
+            harness_.runFor(between(500ms, 3s));
+            harness_.cutOff(vm, gateway_test::PathCut::None);
+            break;
         case VmFault::Pause:
             harness_.signal(vm, SIGSTOP);
             harness_.runFor(between(100ms, 3s));
@@ -173,6 +216,13 @@
         }
     }
 
+    gateway_test::PathCut chooseCut()
+    {
+        using gateway_test::PathCut;
+        constexpr PathCut cuts[] = { PathCut::Refuse, PathCut::Hang, PathCut::RefuseNew, PathCut::HangNew };
+        return cuts[random_.below(std::size(cuts))];
+    }
+
     void restart(std::size_t vm)
     {
         harness_.waitFor([&] { return harness_.hasEnded(vm); }, "the process to end");
@@ -187,6 +237,32 @@
     Callers callers_;
 };
 
+void playAndCheck(const SoakCase &test)
+{
+    for (const auto seed : chooseSeeds()) {
+        Run run(test, seed);
+        run.play(chooseDuration());
+        const auto &promises = run.promises();
+        const auto lines = promises.broken();
+        std::string broken;
+        for (const auto &line : lines) {
+            broken += "\n  " + line;
+        }
+        cr_log_warn("%s, seed %llu: %zu requests, %zu served, %zu sent again, %zu rejections copied, %zu requests came "
+                    "back to a connection, %zu promises broken",
+                    test.name,
+                    static_cast<unsigned long long>(seed),
+                    promises.endedCount(),
+                    promises.servedCount(),
+                    promises.sentAgainCount(),
+                    run.endpoints().copiedCount(),
+                    run.endpoints().returnedCount(),
+                    lines.size());
+        cr_expect(broken.empty(), "%s, seed %llu:%s", test.name, static_cast<unsigned long long>(seed), broken.c_str());
+        cr_expect_gt(promises.servedCount(), promises.endedCount() / 2, "%s", test.name);
+    }
+}
+
 } // namespace
 } // namespace lacewing::soak
 
@@ -197,23 +273,18 @@
 }
 
 ParameterizedTest(lacewing::soak::SoakCase *test, soak, promisesHold)
+{
+    lacewing::soak::playAndCheck(*test);
+}
+
+/** A copy of a rejection was taken for the answer to the same request, which then ran twice (issue 48). */
+ParameterizedTestParameters(soak, repeatedRejectionsAnswerNoOtherSend)
 {
     using namespace lacewing::soak;
-    for (const auto seed : chooseSeeds()) {
-        Run run(*test, seed);
-        run.play(chooseDuration());
-        std::string broken;
-        for (const auto &line : run.promises().broken()) {
-            broken += "\n  " + line;
-        }
-        const auto &promises = run.promises();
-        cr_log_warn("%s, seed %llu: %zu requests, %zu served",
-                    test->name,
-                    static_cast<unsigned long long>(seed),
-                    promises.endedCount(),
-                    promises.servedCount());
-        cr_expect(
-            broken.empty(), "%s, seed %llu:%s", test->name, static_cast<unsigned long long>(seed), broken.c_str());
-        cr_expect_gt(promises.servedCount(), promises.endedCount() / 2, "%s", test->name);
-    }
+    return cr_make_param_array(SoakCase, repeatedRejectionCases, std::size(repeatedRejectionCases));
+}
+
+ParameterizedTest(lacewing::soak::SoakCase *test, soak, repeatedRejectionsAnswerNoOtherSend)
+{
+    lacewing::soak::playAndCheck(*test);
 }
