--- a/tools/gateway/src/fleet_state_versions.cpp
+++ b/tools/gateway/src/fleet_state_versions.cpp
@@ -150,8 +150,8 @@
     if (isConfirmationPending()) {
         return;
     }
-    for (const auto &function : std::exchange(waiting_, {})) {
-        function();
+    for (auto &function : std::exchange(waiting_, {})) {
+        context_.loop.post(std::move(function)); // one by one, so that an exception of one doesn't end the others
     }
 }
 
