--- a/tools/gateway/tests/extra_answer_test.cpp
+++ b/tools/gateway/tests/extra_answer_test.cpp
@@ -250,3 +250,93 @@
         cr_assert_eq(count, 1, "%s was called for %d times", id.c_str(), count);
     }
 }
+
+/**
+ * A second answer for pieces was not recognized if the endpoint's new lifetime had become known between the calls, and
+ * a request ran with the results of another one (issue 48).
+ */
+Test(extraAnswer, repeatedResultsAreRecognizedAfterALifetimeBecameKnown)
+{
+    constexpr Duration workTime = 25ms;
+    constexpr int stagedRequestCount = 6;
+    Harness harness(1);
+    std::uint64_t incarnation = 100;
+    int made = 0;
+    auto &first = harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
+        RawEndpoint::Answer answer { { piecesAnswerText(request, [&](const std::string &owner) {
+            return "127.0.0.1:1/" + owner + "/" + std::to_string(++made);
+        }) } };
+        answer.partDelay = workTime;
+        if (isPiecesCall(request)) {
+            answer.extraBeforeNext = answer.parts.front();
+        }
+        return answer;
+    });
+    auto &engine = harness.addEndpoint("g1", "engine", Endpoint::Behaviour::Stream);
+    const RouteSpec route {
+        .name = "drawn", .kind = RouteKind::Stream, .service = "engine", .stages = { { "first", {} } }
+    };
+    harness.store().publishDesiredState(makeState(1, { route }));
+    harness.start();
+    std::size_t joined = 2;
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", joined);
+    int served = 0;
+    for (int number = 1; number <= stagedRequestCount; ++number) {
+        const std::string id = "request-" + std::to_string(number) + "-";
+        served += harness.sendAndWait(0, "POST", "/drawn/x", stagedHeaders(id, { 1 }), "b").status == 200 ? 1 : 0;
+        // The endpoint has served this request in the lifetime that its registration names only now.
+        first.setIncarnation(++incarnation);
+        harness.store().registerEndpoint(first);
+        harness.waitForLogLines({ 0 }, "\"endpoint joined\"", ++joined);
+    }
+    for (const auto &received : engine.receivedRequests()) {
+        const std::string own = "127.0.0.1:1/" + received.requestId() + "/";
+        cr_assert(received.inputs().starts_with(own), "%s: %s", own.c_str(), received.inputs().c_str());
+    }
+    cr_assert_eq(served, stagedRequestCount, "%d", served);
+}
+
+/** A second answer for pieces was not recognized on a connection in use for long, as the first one was forgotten (issue
+ * 48). */
+Test(extraAnswer, repeatedResultsAreRecognizedAsLongAsTheirConnectionIsOpen)
+{
+    constexpr Duration workTime = 25ms;
+    constexpr Duration pause = 1s;
+    constexpr int stagedRequestCount = 13;
+    Harness harness(1);
+    int made = 0;
+    std::string firstAnswer;
+    harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
+        std::string owner;
+        RawEndpoint::Answer answer { { piecesAnswerText(request, [&](const std::string &id) {
+            owner = id;
+            return "127.0.0.1:1/" + id + "/" + std::to_string(++made);
+        }) } };
+        answer.partDelay = workTime;
+        if (isPiecesCall(request) && firstAnswer.empty()) {
+            firstAnswer = answer.parts.front();
+        }
+        if (owner == "request-" + std::to_string(stagedRequestCount) + "-") {
+            answer.parts.insert(answer.parts.begin(), firstAnswer);
+        }
+        return answer;
+    });
+    auto &engine = harness.addEndpoint("g1", "engine", Endpoint::Behaviour::Stream);
+    const RouteSpec route {
+        .name = "drawn", .kind = RouteKind::Stream, .service = "engine", .stages = { { "first", {} } }
+    };
+    harness.store().publishDesiredState(makeState(1, { route }));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    int served = 0;
+    for (int number = 1; number <= stagedRequestCount; ++number) {
+        const std::string id = "request-" + std::to_string(number) + "-";
+        served += harness.sendAndWait(0, "POST", "/drawn/x", stagedHeaders(id, { 1 }), "b").status == 200 ? 1 : 0;
+        harness.runFor(pause);
+    }
+    for (const auto &received : engine.receivedRequests()) {
+        const std::string own = "127.0.0.1:1/" + received.requestId() + "/";
+        cr_assert(received.inputs().starts_with(own), "%s: %s", own.c_str(), received.inputs().c_str());
+    }
+    cr_assert_eq(served, stagedRequestCount, "%d", served);
+}
