--- a/libs/stages/src/answer_history.cpp
+++ b/libs/stages/src/answer_history.cpp
@@ -16,6 +16,7 @@
     for (const auto &piece : pieces) {
         const std::uint64_t index = (std::uint64_t(piece.index.stage) << 32U) | piece.index.piece;
         hash = hashBytes(piece.request.text(), hash + index);
+        hash = hashBytes(piece.contentKey, hash); // tells requests without an id apart
     }
     return hash;
 }
--- a/libs/stages/tests/answer_history_test.cpp
+++ b/libs/stages/tests/answer_history_test.cpp
@@ -38,6 +38,19 @@
     cr_assert(history.record(endpoint, b, ResultHandle("h4"), start) == AnswerOwner::EarlierCall);
 }
 
+/** Results of one request without an id were taken for those of another one (issue 48). */
+Test(answerHistory, tellsRequestsWithoutAnIdApart)
+{
+    AnswerHistory history;
+    auto a = piecesOf("", 1);
+    a.front().contentKey = "a";
+    auto b = piecesOf("", 1);
+    b.front().contentKey = "b";
+    cr_assert(history.record(endpoint, a, ResultHandle("h1"), start) == AnswerOwner::ThisCall);
+    cr_assert(history.record(endpoint, b, ResultHandle("h1"), start) == AnswerOwner::EarlierCall);
+    cr_assert(history.record(endpoint, a, ResultHandle("h1"), start) == AnswerOwner::EitherCall);
+}
+
 Test(answerHistory, handlesBelongToOneLifetimeForATime)
 {
     AnswerHistory history;
--- a/tools/gateway/tests/extra_answer_test.cpp
+++ b/tools/gateway/tests/extra_answer_test.cpp
@@ -340,3 +340,43 @@
     }
     cr_assert_eq(served, stagedRequestCount, "%d", served);
 }
+
+/** A second answer for pieces was taken for that to another request if neither request had an id (issue 48). */
+Test(extraAnswer, repeatedResultsOfRequestsWithoutAnIdAreToldApart)
+{
+    constexpr Duration workTime = 25ms;
+    constexpr int stagedRequestCount = 6;
+    Harness harness(1);
+    std::string piecesKey;
+    int made = 0;
+    harness.addRawEndpoint("f1", "first", [&](const net::HttpRequest &request) {
+        RawEndpoint::Answer answer { { piecesAnswerText(request, [&](const std::string &) {
+            return "127.0.0.1:1/" + piecesKey + "/" + std::to_string(++made);
+        }) } };
+        answer.partDelay = workTime;
+        if (isPiecesCall(request)) {
+            answer.extraBeforeNext = answer.parts.front();
+        }
+        return answer;
+    });
+    auto &engine = harness.addEndpoint("g1", "engine", Endpoint::Behaviour::Stream);
+    const RouteSpec route {
+        .name = "drawn", .kind = RouteKind::Stream, .service = "engine", .stages = { { "first", {} } }
+    };
+    harness.store().publishDesiredState(makeState(1, { route }));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    for (int number = 1; number <= stagedRequestCount; ++number) {
+        piecesKey = "key-" + std::to_string(number);
+        auto sent = requestHeaders({ .apiKey = key, .pieceCounts = { 1 }, .pieceKey = piecesKey });
+        const std::size_t before = engine.receivedRequests().size();
+        harness.sendAndWait(0, "POST", "/drawn/x", std::move(sent), "b");
+        const auto &received = engine.receivedRequests();
+        for (std::size_t index = before; index < received.size(); ++index) {
+            const std::string inputs = received[index].inputs();
+            cr_assert(
+                inputs.starts_with("127.0.0.1:1/" + piecesKey + "/"), "%s: %s", piecesKey.c_str(), inputs.c_str());
+        }
+    }
+    cr_assert_eq(engine.receivedRequests().size(), std::size_t(stagedRequestCount));
+}
