--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -375,6 +375,62 @@
  */
 std::vector<std::size_t> rendezvous(std::string_view key, std::span<const std::string> candidates, std::size_t count);
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Memory
+
+/**
+ * Bounds the memory that buffers of several owners take together. A part of it is kept for small buffers, so that large
+ * ones don't keep out those that cost little.
+ */
+class MemoryBudget
+{
+public:
+    /** Largest buffer that may take from the part kept for small ones. */
+    static constexpr std::size_t smallBytes = std::size_t(64) << 10U;
+
+    explicit MemoryBudget(std::size_t limit) noexcept;
+
+    /** Lets a buffer grow. @return false if too few bytes are left; none are taken then */
+    bool tryGrow(std::size_t from, std::size_t to) noexcept;
+    void release(std::size_t bytes) noexcept;
+
+    std::size_t used() const noexcept
+    {
+        return used_;
+    }
+    /** Largest buffer that fits if nothing else is held. */
+    std::size_t largestBuffer() const noexcept
+    {
+        return largeLimit_;
+    }
+
+private:
+    std::size_t limit_;
+    std::size_t largeLimit_; ///< for buffers that aren't small
+    std::size_t used_ = 0;
+};
+
+/** Memory that one buffer has taken out of a budget; given back by the destructor. */
+class MemoryReservation
+{
+public:
+    /** Takes nothing, and lets the buffer grow without bound. */
+    MemoryReservation() = default;
+    explicit MemoryReservation(std::shared_ptr<MemoryBudget> budget) noexcept;
+    ~MemoryReservation();
+    MemoryReservation(MemoryReservation &&other) noexcept;
+    MemoryReservation &operator=(MemoryReservation &&other) noexcept;
+
+    /** Makes sure that so many bytes are taken. @return false if too few are left; what was taken stays taken */
+    bool tryGrowTo(std::size_t bytes) noexcept;
+    /** Gives all bytes back. */
+    void release() noexcept;
+
+private:
+    std::shared_ptr<MemoryBudget> budget_;
+    std::size_t bytes_ = 0;
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Helpers
 
--- a/libs/net/benchmarks/latency.cpp
+++ b/libs/net/benchmarks/latency.cpp
@@ -93,7 +93,7 @@
 int main()
 {
     ServerThread server(
-        [](const HttpRequest &request, ResponseWriter writer) { writer.respond(status::ok, {}, request.body); });
+        [](const HttpRequest &request, ResponseWriter writer) { writer.respond(status::ok, {}, request.body.text()); });
     std::unique_ptr<HttpClient> onward;
     ServerThread hop([&](const HttpRequest &request, ResponseWriter writer) {
         HttpCall call;
--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -131,6 +131,46 @@
 /** Reads padded base64. Fails with Malformed. */
 Result<std::string> fromBase64(std::string_view text);
 
+/** The body of a request. Copies share its bytes and the memory reserved for them. */
+class Body
+{
+public:
+    Body() = default;
+    Body(std::string bytes, MemoryReservation reservation = {}); // NOLINT(google-explicit-constructor): text is a body
+    Body(const char *text); // NOLINT(google-explicit-constructor): likewise
+
+    const std::string &text() const noexcept;
+    operator std::string_view() const noexcept // NOLINT(google-explicit-constructor): a body is its bytes
+    {
+        return text();
+    }
+    bool empty() const noexcept
+    {
+        return text().empty();
+    }
+    std::size_t size() const noexcept
+    {
+        return text().size();
+    }
+    std::string::const_iterator begin() const noexcept
+    {
+        return text().begin();
+    }
+    std::string::const_iterator end() const noexcept
+    {
+        return text().end();
+    }
+
+    friend bool operator==(const Body &body, std::string_view text) noexcept
+    {
+        return body.text() == text;
+    }
+
+private:
+    struct Bytes;
+    std::shared_ptr<const Bytes> bytes_; ///< null: empty
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Server
 
@@ -139,7 +179,7 @@
     std::string method;
     std::string target; ///< path with query
     Headers headers;
-    std::string body;
+    Body body;
     std::string remoteAddress; ///< caller's ip:port
     Time receivedAt; ///< when its first byte was read
 
@@ -221,6 +261,14 @@
     HttpServerOptions &maxHeaderBytes(std::size_t bytes);
     /** Largest body of a request; over it is answered with 413. Default 8 MiB. */
     HttpServerOptions &maxBodyBytes(std::size_t bytes);
+    /**
+     * Bounds the bodies of all requests that are being received or held. A request whose body doesn't fit is answered
+     * with 503 and not handled; the connection is closed. Default none.
+     *
+     * @param onRefused called for each such request, which has no body; returns headers of the response
+     */
+    HttpServerOptions &bodyBudget(std::shared_ptr<MemoryBudget> budget,
+                                  std::function<Headers(const HttpRequest &)> onRefused);
     /** Most connections at a time; one more is answered with 503 and closed. Default 10,000. */
     HttpServerOptions &maxConnections(std::size_t count);
     /** Time without progress after which a connection is closed between or within requests, never while a response is
@@ -239,6 +287,15 @@
     {
         return maxBodyBytes_;
     }
+    const std::shared_ptr<MemoryBudget> &bodyBudget() const noexcept
+    {
+        return bodyBudget_;
+    }
+    /** Returns the headers of the response to a request whose body doesn't fit. */
+    Headers refuseBody(const HttpRequest &request) const
+    {
+        return onBodyRefused_ ? onBodyRefused_(request) : Headers();
+    }
     std::size_t maxConnections() const noexcept
     {
         return maxConnections_;
@@ -259,6 +316,8 @@
 private:
     std::size_t maxHeaderBytes_ = std::size_t(16) << 10U;
     std::size_t maxBodyBytes_ = std::size_t(8) << 20U;
+    std::shared_ptr<MemoryBudget> bodyBudget_;
+    std::function<Headers(const HttpRequest &)> onBodyRefused_;
     std::size_t maxConnections_ = 10'000;
     Duration idleTime_ = std::chrono::seconds(60);
     std::size_t maxPendingBytes_ = std::size_t(1) << 20U;
@@ -272,6 +331,7 @@
     std::uint64_t requests = 0; ///< given to the handler
     std::uint64_t malformed = 0; ///< answered with 400
     std::uint64_t tooLarge = 0; ///< answered with 413 or 431
+    std::uint64_t bodiesRefused = 0; ///< answered with 503, as the body didn't fit into the budget
     std::uint64_t idleClosed = 0; ///< connections closed for idleness
     std::uint64_t cut = 0; ///< responses whose caller went away before their end
     std::size_t open = 0; ///< connections at present
@@ -326,7 +386,7 @@
     std::string method = "GET";
     std::string target = "/";
     Headers headers; ///< besides Content-Length and the client's default headers; Host is the address unless given
-    std::string body;
+    Body body;
     bool repeatable = false; ///< may be sent again on a fresh connection when a pooled one turns out dead
     bool resendWhenSilent =
         true; ///< if repeatable, also when the pooled one was silent for the limit of its first byte
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -98,11 +98,10 @@
 {
     phase_ = Phase::Waiting;
     progressAt_ = loop_.clock().now();
-    std::string request = requestHead(call_, pool_.options().defaultHeaders());
-    request += call_.body;
     connectionNumber_ = connection_->info().number;
     earlierCalls_ = connection_->callCount();
-    connection_->send(std::move(request), call_.method == "HEAD", call_.echo, *this);
+    connection_->send(
+        requestHead(call_, pool_.options().defaultHeaders()), call_.body, call_.method == "HEAD", call_.echo, *this);
     armTimer();
 }
 
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "client_connection.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
@@ -132,10 +133,8 @@
     skipping_ = false;
 }
 
-void ClientConnection::send(std::string request,
-                            bool headOnly,
-                            std::optional<Header> echo,
-                            ConnectionListener &listener)
+void ClientConnection::send(
+    std::string head, Body body, bool headOnly, std::optional<Header> echo, ConnectionListener &listener)
 {
     echo_ = std::move(echo);
     if (echo_) {
@@ -144,16 +143,20 @@
     writing_ = true;
     listener_ = &listener;
     headOnly_ = headOnly;
-    request_ = std::move(request);
+    requestHead_ = std::move(head);
+    requestBody_ = std::move(body);
     ++callCount_;
     sent_ = true;
     nothingWritten_ = false;
     newParser();
     asio::async_write(
-        socket_, asio::buffer(request_), [self = shared_from_this()](const ErrorCode &error, std::size_t written) {
+        socket_,
+        std::array<asio::const_buffer, 2> { asio::buffer(requestHead_), asio::buffer(requestBody_.text()) },
+        [self = shared_from_this()](const ErrorCode &error, std::size_t written) {
             // The failure itself is left to the read, which may still find an early response.
             self->nothingWritten_ = error && written == 0;
             self->writing_ = false;
+            self->requestBody_ = {};
         });
     read();
 }
--- a/libs/net/src/client_connection.h
+++ b/libs/net/src/client_connection.h
@@ -68,7 +68,7 @@
 
     void connect(const SocketAddress &address, ConnectionListener &listener);
     /** Sends a request on a connected and unused connection. */
-    void send(std::string request, bool headOnly, std::optional<Header> echo, ConnectionListener &listener);
+    void send(std::string head, Body body, bool headOnly, std::optional<Header> echo, ConnectionListener &listener);
     /** Makes the connection idle; bytes or an end that come now close it. */
     void release(Time now);
     /** Closes the socket; the listener isn't called any more. */
@@ -152,7 +152,8 @@
     ConnectionListener *listener_ = nullptr;
     boost::beast::flat_buffer input_;
     std::optional<ResponseParser> parser_;
-    std::string request_;
+    std::string requestHead_;
+    Body requestBody_; ///< until it is written
     std::uint32_t callCount_ = 0;
     CarriedIds carriedIds_;
     Time openedAt_;
--- a/libs/net/src/messages.cpp
+++ b/libs/net/src/messages.cpp
@@ -74,6 +74,28 @@
     return found->value;
 }
 
+struct Body::Bytes {
+    std::string text;
+    MemoryReservation reservation;
+};
+
+Body::Body(std::string bytes, MemoryReservation reservation)
+    : bytes_(bytes.empty() ? nullptr
+                           : std::make_shared<const Bytes>(Bytes { std::move(bytes), std::move(reservation) }))
+{
+}
+
+Body::Body(const char *text)
+    : Body(std::string(text))
+{
+}
+
+const std::string &Body::text() const noexcept
+{
+    static const std::string none;
+    return bytes_ ? bytes_->text : none;
+}
+
 std::optional<std::string_view> HttpRequest::header(std::string_view name) const noexcept
 {
     return findHeader(headers, name);
@@ -225,6 +247,14 @@
     return *this;
 }
 
+HttpServerOptions &HttpServerOptions::bodyBudget(std::shared_ptr<MemoryBudget> budget,
+                                                 std::function<Headers(const HttpRequest &)> onRefused)
+{
+    bodyBudget_ = std::move(budget);
+    onBodyRefused_ = std::move(onRefused);
+    return *this;
+}
+
 HttpServerOptions &HttpServerOptions::maxConnections(std::size_t count)
 {
     maxConnections_ = count;
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -19,8 +19,9 @@
 constexpr std::size_t readBytes = std::size_t(16) << 10U;
 /** Bytes read ahead of the request in progress before reading pauses. */
 constexpr std::size_t maxReadAhead = std::size_t(64) << 10U;
-/** How long a closed sending side waits for the caller to close as well. */
+/** How long a closed sending side waits for the caller to close as well, since the last byte and in all. */
 constexpr Duration lingerTime = std::chrono::seconds(2);
+constexpr Duration maxLingerTime = std::chrono::seconds(10);
 /** While draining, how long a connection must have been quiet before it is closed between requests. */
 constexpr Duration drainQuiet = std::chrono::milliseconds(500);
 
@@ -33,7 +34,10 @@
     });
 }
 
-HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &remoteAddress, Time receivedAt)
+/** Returns a request without its body. */
+HttpRequest toRequest(const http::request<http::string_body> &message,
+                      const std::string &remoteAddress,
+                      Time receivedAt)
 {
     HttpRequest request;
     request.receivedAt = receivedAt;
@@ -42,7 +46,6 @@
     for (const auto &field : message) {
         request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
     }
-    request.body = std::move(message.body());
     request.remoteAddress = remoteAddress;
     return request;
 }
@@ -157,6 +160,7 @@
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(shared_->options.maxHeaderBytes()));
     parser_->body_limit(shared_->options.maxBodyBytes());
+    bodyReservation_ = MemoryReservation(shared_->options.bodyBudget());
     continueSent_ = false;
 }
 
@@ -190,7 +194,9 @@
     }
     input_.commit(size);
     if (phase_ == Phase::Lingering) {
+        // A caller that still sends a refused request reads the answer later; a reset would take it away.
         input_.consume(input_.size());
+        lastProgress_ = std::min(shared_->loop.clock().now(), lingerEnd_);
     } else {
         lastProgress_ = shared_->loop.clock().now();
         parse();
@@ -216,6 +222,10 @@
             rejectMalformed(http::error::bad_transfer_encoding);
             return;
         }
+        if (parser_->is_header_done() && !reserveBody()) {
+            refuseBody();
+            return;
+        }
         sendContinueIfAsked();
         if (parser_->is_done()) {
             dispatch();
@@ -255,7 +265,9 @@
     exchange_ = exchange;
     ResponseWriter writer(std::move(exchange));
     try {
-        shared_->handler(toRequest(std::move(message), remoteAddress_, requestStarted_), writer);
+        HttpRequest request = toRequest(message, remoteAddress_, requestStarted_);
+        request.body = Body(std::move(message.body()), std::move(bodyReservation_));
+        shared_->handler(std::move(request), writer);
     } catch (const std::exception &) {
         writer.respond(status::internalError, {}, {});
     }
@@ -275,12 +287,30 @@
     }
 }
 
-void ServerConnection::rejectWith(int status)
+/** Takes memory for the body of the request at hand: all of it at once if its length is known. */
+bool ServerConnection::reserveBody()
+{
+    const auto &body = parser_->get().body();
+    const auto length = parser_->content_length();
+    const std::size_t held = body.empty() ? 0 : body.capacity();
+    return bodyReservation_.tryGrowTo(length ? std::size_t(*length) : held);
+}
+
+void ServerConnection::refuseBody()
+{
+    ++shared_->counters.bodiesRefused;
+    const Headers headers = shared_->options.refuseBody(toRequest(parser_->get(), remoteAddress_, requestStarted_));
+    parser_.reset();
+    bodyReservation_.release();
+    rejectWith(status::unavailable, headers);
+}
+
+void ServerConnection::rejectWith(int status, const Headers &headers)
 {
     phase_ = Phase::Finishing;
     keepAlive_ = false;
     input_.consume(input_.size());
-    send(responseHead(status, {}, { .keepAlive = false, .contentLength = 0 }));
+    send(responseHead(status, headers, { .keepAlive = false, .contentLength = 0 }));
 }
 
 void ServerConnection::send(std::string_view bytes)
@@ -371,6 +401,7 @@
 void ServerConnection::linger()
 {
     phase_ = Phase::Lingering;
+    lingerEnd_ = shared_->loop.clock().now() + maxLingerTime - lingerTime;
     ErrorCode error;
     socket_.set_option(asio::socket_base::linger(false, 0), error); // undoes resetUnlessComplete()
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
--- a/libs/net/src/server_connection.h
+++ b/libs/net/src/server_connection.h
@@ -115,7 +115,9 @@
     void sendContinueIfAsked();
     void dispatch();
     void rejectMalformed(const ErrorCode &error);
-    void rejectWith(int status);
+    bool reserveBody();
+    void refuseBody();
+    void rejectWith(int status, const Headers &headers = {});
     void flush();
     void flushDone(const ErrorCode &error);
     void nextRequest();
@@ -128,11 +130,13 @@
     std::string remoteAddress_;
     boost::beast::flat_buffer input_;
     std::optional<Parser> parser_;
+    MemoryReservation bodyReservation_; ///< for the body that the parser collects
     std::weak_ptr<ResponseWriter::Exchange> exchange_;
     std::string pending_;
     std::string sending_;
     Phase phase_ = Phase::Reading;
     Time lastProgress_;
+    Time lingerEnd_; ///< latest end of Lingering
     Time requestStarted_; ///< when the first byte of the request at hand was read
     bool reading_ = false;
     bool peerClosed_ = false; ///< the caller has closed its sending side
--- a/libs/net/tests/http_fixture.h
+++ b/libs/net/tests/http_fixture.h
@@ -70,7 +70,7 @@
 /** Answers with the request's body. */
 inline void echo(const HttpRequest &request, ResponseWriter writer)
 {
-    writer.respond(status::ok, { { "X-Target", request.target } }, request.body);
+    writer.respond(status::ok, { { "X-Target", request.target } }, request.body.text());
 }
 
 } // namespace lacewing::net
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -23,15 +23,17 @@
 /** Connections to one endpoint; the limits of services are enforced when an endpoint is selected. */
 constexpr std::size_t maxConnectionsPerEndpoint = 256;
 constexpr std::size_t reservedLinkDescriptors = 1'000;
+constexpr std::size_t maxBodyBytes = std::size_t(8) << 20U;
+/** When the caller of a body that found no room may come back, and the fraction of the jitter. A body is often refused
+ * after it was sent in part, so that an early return costs more than that of a small request. */
+constexpr Duration bodyRetryAfter = 1s;
+constexpr double bodyRetryAfterJitter = 0.5;
 
-net::HttpServerOptions callerOptions(const Context &context)
+/** Returns the memory for the bodies of requests. The rest is for answers, connections and the process itself. */
+std::size_t bodyMemoryBytes(const userplatform::VmSettings &settings)
 {
-    const std::size_t connections = context.settings.maxFileDescriptors / 2;
-    return net::HttpServerOptions()
-        .maxHeaderBytes(std::size_t(64) << 10U)
-        .maxBodyBytes(std::size_t(8) << 20U)
-        .maxConnections(std::max<std::size_t>(connections, 64))
-        .idleTime(callerIdleTimeout);
+    constexpr double share = 0.4;
+    return static_cast<std::size_t>(share * double(settings.memoryBytes));
 }
 
 net::HttpClientOptions endpointOptions(const Context &context, EndpointConnectionLog &log)
@@ -70,12 +72,17 @@
     , loadBalancer_(random_.next())
     , prefixCache_(prefixRetention)
     , decisionLog_(context.logger)
-    , shared_ { context,         links_,         state_,         notices_,      reachability_,
-                relayPeers_,     pieces_,        client_,        loadBalancer_, prefixCache_,
-                poisonRequests_, poisonPrompts_, streamOrigins_, decisionLog_,  random_ }
+    , shared_ { context,         links_,
+                state_,          notices_,
+                reachability_,   relayPeers_,
+                pieces_,         client_,
+                loadBalancer_,   prefixCache_,
+                poisonRequests_, poisonPrompts_,
+                streamOrigins_,  decisionLog_,
+                random_,         std::make_shared<MemoryBudget>(bodyMemoryBytes(context.settings)) }
     , relayService_(shared_)
     , callerServer_(context.loop,
-                    callerOptions(context),
+                    callerOptions(),
                     [this](net::HttpRequest request, net::ResponseWriter writer) {
                         const auto handler = std::make_shared<RequestHandler>(shared_, std::move(request), writer);
                         if (!state_.isConfirmationPending()) {
@@ -104,6 +111,29 @@
 {
 }
 
+net::HttpServerOptions Gateway::callerOptions()
+{
+    const std::size_t connections = context_.settings.maxFileDescriptors / 2;
+    return net::HttpServerOptions()
+        .maxHeaderBytes(std::size_t(64) << 10U)
+        .maxBodyBytes(std::min(maxBodyBytes, shared_.bodyMemory->largestBuffer()))
+        .bodyBudget(shared_.bodyMemory, [this](const net::HttpRequest &request) { return handleBodyRefused(request); })
+        .maxConnections(std::max<std::size_t>(connections, 64))
+        .idleTime(callerIdleTimeout);
+}
+
+net::Headers Gateway::handleBodyRefused(const net::HttpRequest &request)
+{
+    const auto metadata = userplatform::parseRequestMetadata(request);
+    decisionLog_.write("body refused for lack of memory",
+                       { { "request", metadata ? metadata.value().id : stages::RequestId() },
+                         { "length", request.header("Content-Length").value_or("unknown") },
+                         { "held", shared_.bodyMemory->used() },
+                         { "caller", request.remoteAddress } },
+                       context_.now());
+    return userplatform::retryAfterHeaders(random_.jitter(bodyRetryAfter, bodyRetryAfterJitter));
+}
+
 Result<void> Gateway::listen()
 {
     const auto &settings = context_.settings;
@@ -220,6 +250,12 @@
         double(peers.messagesDropped));
     set({ "overlay_neighbours", "VMs with which this VM exchanges messages to keep up membership" },
         double(links_.neighbourCount()));
+    set({ "request_body_held",
+          "Bytes of the bodies of requests that are being received or held",
+          telemetry::Unit::Bytes },
+        double(shared_.bodyMemory->used()));
+    set({ "request_bodies_refused", "Requests refused since the start as their bodies found no memory" },
+        double(callerServer_.counters().bodiesRefused));
     const auto &store = state_.storeCounters();
     set({ "store_reads", "Reads of the store since the start, of all kinds" }, double(store.reads));
     set({ "store_snapshot_pages", "Reads of all newest records of a topic since the start" },
--- a/tools/gateway/src/gateway.h
+++ b/tools/gateway/src/gateway.h
@@ -29,6 +29,8 @@
     int run();
 
 private:
+    net::HttpServerOptions callerOptions();
+    net::Headers handleBodyRefused(const net::HttpRequest &request);
     void waitForSignal();
     void startShutdown();
     std::vector<std::shared_ptr<RequestHandler>> activeRequests() const;
--- a/tools/gateway/src/main.cpp
+++ b/tools/gateway/src/main.cpp
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <malloc.h>
+
 DEFINE_string(settings, "", "path of this VM's settings; by default the platform's variable names it");
 DEFINE_bool(check, false, "check the settings and end");
 
@@ -15,6 +17,8 @@
 namespace
 {
 
+/** Size from which an allocation has pages of its own. */
+constexpr int ownPagesBytes = 256 * 1024;
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 3;
 constexpr int exitListen = 4;
@@ -77,6 +81,9 @@
 
 int main(int argc, char **argv)
 {
+    // Bodies of requests then have pages of their own, which go back to the system when they are freed. Without a fixed
+    // threshold the first of them that is freed raises it, and later ones leave gaps in the heap.
+    mallopt(M_MMAP_THRESHOLD, lacewing::gateway::ownPagesBytes);
     gflags::SetUsageMessage("serves callers on one VM of the users' platform: lacewing-gateway [--settings=FILE]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     return lacewing::gateway::runGateway();
--- a/tools/gateway/src/relay_service.cpp
+++ b/tools/gateway/src/relay_service.cpp
@@ -11,13 +11,13 @@
 /** Bytes of an answer that wait for a slow link or caller; more ends the call. */
 constexpr std::size_t maxPendingBytes = std::size_t(8) << 20U;
 
-net::HttpRequest toRequest(RelayRequest &message, Time receivedAt)
+net::HttpRequest toRequest(RelayRequest &message, MemoryReservation memory, Time receivedAt)
 {
     net::HttpRequest request;
     request.method = std::move(message.method);
     request.target = std::move(message.target);
     request.headers = toHeaders(std::move(message.headers));
-    request.body = std::move(message.body);
+    request.body = net::Body(std::move(message.body), std::move(memory));
     request.receivedAt = receivedAt;
     return request;
 }
@@ -47,12 +47,14 @@
         , message_(std::move(request))
         , writer_(std::move(writer))
         , deadline_(shared_.context.now() + std::chrono::milliseconds(message_.remainingMs))
-        , request_(toRequest(message_, shared_.context.now()))
     {
     }
 
     void start()
     {
+        MemoryReservation memory(shared_.bodyMemory);
+        const bool hasMemory = memory.tryGrowTo(message_.body.size());
+        request_ = toRequest(message_, std::move(memory), shared_.context.now());
         const auto metadata = userplatform::parseRequestMetadata(request_);
         if (!metadata) {
             refuse(metadata.error().detail);
@@ -64,6 +66,8 @@
             refuse("vm leaves");
         } else if (shared_.state.isConfirmationPending()) {
             refuse("vm stood still"); // the request may have waited, and its times have run on
+        } else if (!hasMemory) {
+            refuse("no memory for the body");
         } else if (message_.remainingMs <= 0) {
             refuse("deadline already passed");
         } else if (shared_.reachability.isUnreachable(message_.service)) {
--- a/tools/gateway/src/relayed_attempt.cpp
+++ b/tools/gateway/src/relayed_attempt.cpp
@@ -18,8 +18,9 @@
 {
 }
 
-void RelayedAttempt::start(const RelayRequest &request)
+void RelayedAttempt::start(const RelayRequest &request, MemoryReservation memory)
 {
+    memory_ = std::move(memory);
     service_ = request.service;
     hasVersionCondition_ = userplatform::hasVersionCondition(toHeaders(request.headers));
     shared_.relays.onStarted(relay_);
@@ -53,6 +54,7 @@
         return;
     }
     isOpen_ = false;
+    memory_.release();
     shared_.relays.onEnded(relay_);
     if (call_ != peer::PeerCallHandle()) {
         shared_.links.cancel(std::exchange(call_, {}));
--- a/tools/gateway/src/relayed_attempt.h
+++ b/tools/gateway/src/relayed_attempt.h
@@ -14,7 +14,8 @@
 public:
     RelayedAttempt(RequestContext &shared, VmId relay, AttemptHandlers handlers);
 
-    void start(const RelayRequest &request);
+    /** @param memory reserved for the bytes of the request while they are sent */
+    void start(const RelayRequest &request, MemoryReservation memory);
     void close(dispatch::SendOutcome outcome) override;
     VmId relay() const override
     {
@@ -31,6 +32,7 @@
     VmId relay_;
     routing::ServiceId service_;
     peer::PeerCallHandle call_;
+    MemoryReservation memory_;
 };
 
 } // namespace lacewing::gateway
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -170,13 +170,18 @@
         rejectOrFail("no vm can send the request", retryAfterTime());
         return;
     }
+    MemoryReservation copy(shared_.bodyMemory);
+    if (!copy.tryGrowTo(request_.body.size())) {
+        rejectOrFail("no memory to have another vm send the body", defaultRetryAfter);
+        return;
+    }
     beginAttempt();
     const auto parameters = makeForwardParameters();
     RelayRequest message;
     message.method = request_.method;
     message.target = request_.target;
     message.headers = toMessage(request_.headers);
-    message.body = request_.body;
+    message.body = request_.body.text();
     message.service = service_;
     if (parameters.workspace) {
         message.workspace = parameters.workspace->text();
@@ -206,7 +211,7 @@
                               now());
     const auto attempt = std::make_shared<RelayedAttempt>(shared_, *relay, makeAttemptHandlers());
     attempt_ = attempt;
-    attempt->start(message);
+    attempt->start(message, std::move(copy));
 }
 
 /** Retries or resumes a request whose endpoint has become unreachable and silent, if that is allowed. */
--- a/tools/gateway/src/request_context.h
+++ b/tools/gateway/src/request_context.h
@@ -61,6 +61,7 @@
     StreamOrigins &streamOrigins;
     DecisionLog &decisionLog;
     Random &random;
+    std::shared_ptr<MemoryBudget> bodyMemory; ///< for the bodies of requests
     dispatch::RejectionHistory rejectionHistory;
     std::unordered_map<routing::ServiceId, dispatch::RetryBudget> retryBudgets;
     RouteAverages tokenAverages; ///< request sizes, in weighted tokens
