--- a/tools/gateway/tests/harness.cpp
+++ b/tools/gateway/tests/harness.cpp
@@ -137,11 +137,15 @@
     {
         std::ofstream file(path + ".new");
         file << words[std::size_t(cut)] << ' ' << blackHolePort_;
-        for (const auto &endpoint : endpoints_) {
-            if (std::find(endpoints.begin(), endpoints.end(), endpoint->identity().id) != endpoints.end()) {
-                file << ' ' << net::parseAddress(endpoint->address()).value().port;
+        const auto writePorts = [&](const auto &candidates) {
+            for (const auto &endpoint : candidates) {
+                if (std::find(endpoints.begin(), endpoints.end(), endpoint->identity().id) != endpoints.end()) {
+                    file << ' ' << net::parseAddress(endpoint->address()).value().port;
+                }
             }
-        }
+        };
+        writePorts(endpoints_);
+        writePorts(rawEndpoints_);
     }
     rename((path + ".new").c_str(), path.c_str());
 }
