--- a/libs/net/include/net/net.h
+++ b/libs/net/include/net/net.h
@@ -449,9 +449,10 @@
     /**
      * Called at the end of a response that does not repeat HttpCall::echo, before onDone, if
      * HttpClientOptions::reuseOnlyIdentified() is set. Returns whether the content shows that the response belongs to
-     * this call; if not, or if there is no such function, the connection is not used again.
+     * this call; if not, or if there is no such function, the connection is not used again. Copies of earlier responses
+     * come on the connection that these came on.
      */
-    std::function<bool()> isIdentified;
+    std::function<bool(ConnectionNumber)> isIdentified;
     /**
      * The head of an answer that is not awaited any more: it had arrived unread when the call was cancelled or a time
      * limit passed, or arrives a moment later. Called once at most, after onDone if the call was not cancelled.
@@ -650,7 +651,7 @@
                      HttpLimits limits,
                      std::function<void(const HttpEnd &, HttpResponse)> callback,
                      std::function<void(const HttpHead &)> onLateHead = nullptr,
-                     std::function<bool(const HttpResponse &)> isIdentified = nullptr);
+                     std::function<bool(const HttpResponse &, ConnectionNumber)> isIdentified = nullptr);
 
 // ---------------------------------------------------------------------------------------------------------------------
 // Server-sent events
--- a/libs/net/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -100,7 +100,7 @@
                      HttpLimits limits,
                      std::function<void(const HttpEnd &, HttpResponse)> callback,
                      std::function<void(const HttpHead &)> onLateHead,
-                     std::function<bool(const HttpResponse &)> isIdentified)
+                     std::function<bool(const HttpResponse &, ConnectionNumber)> isIdentified)
 {
     auto response = std::make_shared<HttpResponse>();
     HttpHandlers handlers;
@@ -111,7 +111,9 @@
     };
     handlers.onLateHead = std::move(onLateHead);
     if (isIdentified) {
-        handlers.isIdentified = [response, isIdentified = std::move(isIdentified)] { return isIdentified(*response); };
+        handlers.isIdentified = [response, isIdentified = std::move(isIdentified)](ConnectionNumber connection) {
+            return isIdentified(*response, connection);
+        };
     }
     return client.start(std::move(call), limits, std::move(handlers));
 }
--- a/libs/net/src/client_call.cpp
+++ b/libs/net/src/client_call.cpp
@@ -161,7 +161,7 @@
 bool ClientCall::isIdentified(const ClientConnection &connection) const
 {
     return !pool_.options().reuseOnlyIdentified() || connection.hasEcho()
-        || (handlers_.isIdentified && handlers_.isIdentified());
+        || (handlers_.isIdentified && handlers_.isIdentified(connection.info().number));
 }
 
 void ClientCall::failed(Error error)
--- a/libs/stages/include/stages/stages.h
+++ b/libs/stages/include/stages/stages.h
@@ -137,6 +137,9 @@
     Duration expectedDuration {};
 };
 
+/** Names a connection to an endpoint among all that this VM has opened. */
+using ConnectionKey = Number<struct ConnectionKeyTag>;
+
 /** Which call an answer with results belongs to. */
 enum class AnswerOwner : std::uint8_t {
     ThisCall,
@@ -148,12 +151,12 @@
  * Recognizes second copies of answers to calls for pieces.
  *
  * Such an answer has no id, but each result has a handle of its own. An answer that holds the results of an earlier
- * call is a second copy of that call's answer.
+ * call on its connection is a second copy of that call's answer.
  */
 class AnswerHistory
 {
 public:
-    /** Maximum age of connections on which calls for pieces are begun. */
+    /** Maximum age of connections on which calls for pieces are begun, which bounds the answers of each. */
     static constexpr Duration maxConnectionAge = std::chrono::seconds(30);
 
     /**
@@ -161,11 +164,11 @@
      *
      * @param pieces of the call @param firstResult the first result in the answer
      */
-    AnswerOwner record(const routing::EndpointLifetime &endpoint,
+    AnswerOwner record(ConnectionKey connection,
                        std::span<const PieceTask> pieces,
                        const ResultHandle &firstResult,
                        Time now);
-    /** Removes endpoints without recent answers. */
+    /** Removes connections that can't be open any more. */
     void expire(Time now);
 
 private:
@@ -175,7 +178,7 @@
         std::uint64_t call; ///< hash of the pieces
     };
 
-    std::map<routing::EndpointLifetime, std::deque<Answer>> answers_;
+    std::unordered_map<ConnectionKey, std::vector<Answer>> answers_;
 };
 
 /** How a call ended. */
--- a/tools/gateway/src/batch_dispatcher.cpp
+++ b/tools/gateway/src/batch_dispatcher.cpp
@@ -209,9 +209,9 @@
             // The call was aborted or timed out, but what the endpoint says still holds.
             shared_.notices.handleResponse(endpoint, userplatform::parseResponseMetadata(head), sentAt);
         },
-        [this, number](const net::HttpResponse &response) {
+        [this, number](const net::HttpResponse &response, net::ConnectionNumber connection) {
             const auto inFlight = inFlightCalls_.find(number);
-            return inFlight != inFlightCalls_.end() && readResults(inFlight->second, response);
+            return inFlight != inFlightCalls_.end() && readResults(inFlight->second, response, connection);
         });
     inFlightCalls_.emplace(number, InFlightCall { std::move(call), *entry, handle, now() });
 }
@@ -260,7 +260,9 @@
  *
  * @return whether the response certainly belongs to this call; one without results could belong to any
  */
-bool BatchDispatcher::readResults(InFlightCall &inFlight, const net::HttpResponse &response)
+bool BatchDispatcher::readResults(InFlightCall &inFlight,
+                                  const net::HttpResponse &response,
+                                  net::ConnectionNumber connection)
 {
     const auto &pieces = inFlight.call.pieces;
     if (response.head.status != net::status::ok) {
@@ -274,7 +276,7 @@
         results.value().begin(), results.value().end(), [](const auto &result) { return result.handle.has_value(); });
     auto owner = stages::AnswerOwner::EitherCall;
     if (first != results.value().end()) {
-        owner = shared_.answers.record(inFlight.entry.lifetime(), pieces, *first->handle, now());
+        owner = shared_.answers.record(stages::ConnectionKey(connection.value()), pieces, *first->handle, now());
     }
     if (owner == stages::AnswerOwner::EarlierCall) {
         shared_.context.logger.warn(
@@ -432,7 +434,7 @@
         };
         handlers.onBody = [response](std::string_view bytes) { response->body += bytes; };
         // A second copy is harmless if it holds no results that a call for pieces could be given.
-        handlers.isIdentified = [response] {
+        handlers.isIdentified = [response](net::ConnectionNumber) {
             return response->head.status == net::status::ok && !userplatform::holdsResults(response->body);
         };
         shared_.notices.onSend(entry->lifetime());
--- a/tools/gateway/src/batch_dispatcher.h
+++ b/tools/gateway/src/batch_dispatcher.h
@@ -94,7 +94,7 @@
     void runScheduler();
     void send(stages::BatchCall call);
     void rejectQuarantined(stages::BatchCall &call);
-    bool readResults(InFlightCall &inFlight, const net::HttpResponse &response);
+    bool readResults(InFlightCall &inFlight, const net::HttpResponse &response, net::ConnectionNumber connection);
     void handleCallEnd(const InFlightCall &inFlight, const net::HttpEnd &end, const net::HttpHead &head);
     void abortCalls(const EndpointId &endpoint);
     void handleResults(const stages::BatchCall &call, const std::vector<userplatform::PieceResponse> &pieceResponses);
