--- a/tools/soak/src/endpoints.cpp
+++ b/tools/soak/src/endpoints.cpp
@@ -77,7 +77,7 @@
     if (random_.chance(faults_.closed)) {
         return { { "" }, RawEndpoint::Ending::Close };
     }
-    returned_ += rejected_.contains({ request.remoteAddress, received.requestId() }) ? 1 : 0;
+    returned_ += endpoint.rejected.contains({ request.remoteAddress, received.requestId() }) ? 1 : 0;
     if (endpoint.running >= endpoint.slots + endpoint.places || random_.chance(faults_.rejected)) {
         return reject(endpoint, received);
     }
@@ -109,7 +109,7 @@
         spoil(answer);
     }
     if (!id.empty()) {
-        rejected_.insert({ connection, id });
+        endpoint.rejected.insert({ connection, id });
         promises_.onRejected(id,
                              std::to_string(status) + " by " + endpoint.id + " to " + connection + copies,
                              harness_.loop().clock().now());
--- a/tools/soak/src/endpoints.h
+++ b/tools/soak/src/endpoints.h
@@ -61,6 +61,7 @@
         std::size_t slots = 0;
         std::size_t places = 0;
         std::size_t running = 0; ///< or waiting
+        std::set<std::pair<std::string, std::string>> rejected = {}; ///< connections and requests
     };
 
     void add(const std::string &id, const std::string &service, std::size_t slots, std::size_t places = 0);
@@ -80,7 +81,6 @@
     Random random_;
     Duration longestStream_;
     EndpointSize plainSize_;
-    std::set<std::pair<std::string, std::string>> rejected_; ///< connections and requests
     std::size_t copied_ = 0;
     std::size_t returned_ = 0;
     EndpointFaults faults_;
