--- a/tools/standin/src/endpoint_host.cpp
+++ b/tools/standin/src/endpoint_host.cpp
@@ -173,7 +173,7 @@
         ++callsAfterLeave_;
         lastCallAfterLeave_ = context_.loop.clock().now() - leftAt_;
     }
-    if (!accepts(request.path(), modelIn(request.body))) {
+    if (!accepts(request.path(), modelIn(request.body.text()))) {
         declineCall(run_->process, request, std::move(writer), "another role, or the model isn't loaded");
     } else if (request.path() == "/v1/completions") {
         run_->engine->serve(request, std::move(writer));
@@ -341,7 +341,7 @@
 {
     const std::string callId = request.query("call").value_or("");
     if (request.method == "POST") {
-        const bool taken = run_->engine->importKv(callId, request.body);
+        const bool taken = run_->engine->importKv(callId, request.body.text());
         writer.respond(taken ? net::status::ok : net::status::unprocessable, {}, "");
         return;
     }
--- a/tools/standin/src/platform_host.cpp
+++ b/tools/standin/src/platform_host.cpp
@@ -147,7 +147,7 @@
 {
     std::vector<std::string> records;
     try {
-        records = recordsFrom(request.body);
+        records = recordsFrom(request.body.text());
     } catch (const std::exception &error) {
         writer.respond(net::status::badRequest, {}, error.what());
         return;
--- a/tools/standin/src/standin.cpp
+++ b/tools/standin/src/standin.cpp
@@ -182,7 +182,7 @@
 {
     Fault fault;
     try {
-        fault = faultFrom(request.body, loop_.clock().now());
+        fault = faultFrom(request.body.text(), loop_.clock().now());
     } catch (const std::exception &error) {
         writer.respond(net::status::badRequest, {}, error.what());
         return;
