--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -39,11 +39,12 @@
 public:
     Impl(EventLoop &loop, HttpServerOptions options, RequestHandler handler)
         : loop_(loop)
-        , shared_(std::make_shared<ServerShared>(ServerShared { loop, options, std::move(handler), {}, false, {} }))
+        , shared_(std::make_shared<ServerShared>(
+              ServerShared { loop, std::move(options), std::move(handler), {}, false, {} }))
         , acceptor_(loop.ioContext())
     {
         shared_->onGone = [this](ServerConnection &connection) { connectionGone(connection); };
-        const Duration period = std::clamp(options.idleTime() / 4, minSweepPeriod, maxSweepPeriod);
+        const Duration period = std::clamp(shared_->options.idleTime() / 4, minSweepPeriod, maxSweepPeriod);
         sweepTimer_ = loop_.timers().every(loop_.clock().now() + period, period, [this](Time now) { sweep(now); });
     }
 
@@ -239,7 +240,7 @@
 };
 
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, RequestHandler handler)
-    : impl_(std::make_shared<Impl>(loop, options, std::move(handler)))
+    : impl_(std::make_shared<Impl>(loop, std::move(options), std::move(handler)))
 {
 }
 
--- a/libs/net/tests/http_fixture.h
+++ b/libs/net/tests/http_fixture.h
@@ -10,7 +10,7 @@
 /** A loop with a server and a client on it. */
 struct HttpFixture {
     explicit HttpFixture(RequestHandler handler, HttpServerOptions options = {}, HttpClientOptions clientOptions = {})
-        : server(loop, options, std::move(handler))
+        : server(loop, std::move(options), std::move(handler))
         , client(loop, std::move(clientOptions))
     {
         cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
