--- a/tools/gateway/tests/request_body_test.cpp
+++ b/tools/gateway/tests/request_body_test.cpp
@@ -23,7 +23,7 @@
 /** Endpoints that take documents, so that none has to turn one away for its number of connections. */
 constexpr int documentEndpoints = 4;
 /** The memory of a VM, and the share of it that a process may take at most. */
-constexpr std::size_t memoryBytes = std::size_t(VmSpec().memoryMb) << 20U;
+const std::size_t memoryBytes = std::size_t(VmSpec().memoryMb) << 20U;
 constexpr double maxShare = 0.9;
 /** Time within which a small request is answered while documents arrive. */
 constexpr auto smallRequestTime = 1500ms;
