--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -273,6 +273,72 @@
     return largest > memoryMb * bytesPerMb * 105 / 100 ? broken : held;
 }
 
+/** A runner goes down and up by turns, and is of another software version when it comes back under its id. */
+int flapWithNewVersion(Fleet &fleet, bool hasTrouble)
+{
+    constexpr int vms = 2;
+    constexpr int rounds = 3;
+    constexpr int streamsPerRound = 36;
+    fleet.publishState(stateText(true));
+    const auto spec = [](int index, const std::string &version) {
+        return RunnerSpec {
+            "r-" + std::to_string(index), std::string(1, char('a' + index % 3)), version, 100, 250, 20
+        };
+    };
+    for (int index = 0; index < 6; ++index) {
+        fleet.startRunner(spec(index, index < 4 ? "v1" : "v2"));
+    }
+    for (int vm = 0; vm < vms; ++vm) {
+        fleet.startVm(vm, std::string(1, char('a' + vm)));
+    }
+    for (int vm = 0; vm < vms; ++vm) {
+        if (!fleet.waitReady(vm)) {
+            return unusable;
+        }
+    }
+    fleet.runFor(4s);
+    std::vector<std::shared_ptr<Outcome>> outcomes;
+    for (int round = 0; round < rounds; ++round) {
+        const std::string id = "r-" + std::to_string(round);
+        if (hasTrouble) {
+            fleet.killRunner(id);
+        }
+        fleet.runFor(2s);
+        if (hasTrouble) {
+            fleet.startRunner(spec(round, "v2"));
+        }
+        fleet.runFor(30ms);
+        for (int index = 0; index < streamsPerRound; ++index) {
+            outcomes.push_back(fleet.send(fleet.newRequester(),
+                                          index % vms,
+                                          "/chat/x",
+                                          "stream-" + std::to_string(round) + "-" + std::to_string(index),
+                                          { { "Model", "m" } },
+                                          15'000));
+        }
+        fleet.runFor(1500ms);
+        if (hasTrouble) {
+            fleet.killRunner(id);
+        }
+        fleet.runFor(5s);
+    }
+    fleet.waitFor(
+        [&] { return std::all_of(outcomes.begin(), outcomes.end(), [](const auto &o) { return o->isDone; }); }, 15s);
+    int mixed = 0;
+    int complete = 0;
+    for (const auto &outcome : outcomes) {
+        mixed += outcome->versions.size() > 1 ? 1 : 0;
+        complete += outcome->isComplete && outcome->lastEventId == "20" ? 1 : 0;
+        if (outcome->versions.size() > 1) {
+            fleet.record("events of two software versions: " + outcome->attempt + ", " + outcome->versions[0] + " then "
+                         + outcome->versions[1]);
+        }
+    }
+    fleet.record("streams " + std::to_string(outcomes.size()) + ", complete: " + std::to_string(complete)
+                 + ", with events of two software versions: " + std::to_string(mixed) + " (ORDER allows 2)");
+    return mixed > 2 ? broken : held;
+}
+
 /** Clients outside the limits send heads that name many headers of one channel. */
 int hangOnConnectionHeader(Fleet &fleet, bool hasTrouble)
 {
@@ -347,6 +413,7 @@
     const int result = name == "crash-with-long-prompts" ? crashWithLongPrompts(fleet, hasTrouble)
         : name == "taken-up-after-roll"                  ? takenUpAfterRoll(fleet, hasTrouble)
         : name == "memory-of-prompt-parts"               ? memoryOfPromptParts(fleet, hasTrouble)
+        : name == "flap-with-new-version"                ? flapWithNewVersion(fleet, hasTrouble)
         : name == "hang-on-connection-header"            ? hangOnConnectionHeader(fleet, hasTrouble)
                                                          : unusable;
     fleet.record(result == broken ? "the rule is broken" : result == held ? "the rule held" : "the case could not run");
--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -81,7 +81,7 @@
             return;
         }
         const std::string number = std::to_string(stream->next);
-        stream->writer.write("id: " + number + "\ndata: " + spec.id + " event " + number + "\n\n");
+        stream->writer.write("id: " + number + "\ndata: " + spec.version + " " + spec.id + "\n\n");
         if (++stream->next > spec.events) {
             stream->writer.end();
             return;
@@ -143,6 +143,20 @@
         std::exit(2);
     }
     storeAddress_ = store_.address();
+    constexpr Duration heartbeat = std::chrono::milliseconds(1200);
+    loop_.timers().every(startedAt_ + heartbeat, heartbeat, [this](Time) {
+        // Spread over the interval, as the heartbeats of runners are.
+        int index = 0;
+        for (const auto &[id, runner] : runners_) {
+            loop_.timers().once(loop_.clock().now() + std::chrono::milliseconds(300 * (index++ % 4)),
+                                [this, id = id](Time) {
+                                    Runner &alive = runners_[id];
+                                    if (alive.process > 0) {
+                                        registerRunner(alive);
+                                    }
+                                });
+        }
+    });
 }
 
 Fleet::~Fleet()
@@ -153,10 +167,10 @@
             waitpid(process.id, nullptr, 0);
         }
     }
-    for (const auto &[id, process] : runners_) {
-        if (process > 0) {
-            kill(process, SIGKILL);
-            waitpid(process, nullptr, 0);
+    for (const auto &[id, runner] : runners_) {
+        if (runner.process > 0) {
+            kill(runner.process, SIGKILL);
+            waitpid(runner.process, nullptr, 0);
         }
     }
     if (std::getenv("KEEP_LOGS") != nullptr) {
@@ -211,37 +225,70 @@
 
 void Fleet::startRunner(const RunnerSpec &spec)
 {
-    const std::string address = ip(50 + int(runners_.size())) + ":" + std::to_string(runnerPort);
-    const std::string log = directory_ + "/" + spec.id + ".runs";
-    runners_[spec.id] = spawn({ self_,
-                                "runner",
-                                spec.id,
-                                spec.zone,
-                                spec.version,
-                                std::to_string(spec.firstMs),
-                                std::to_string(spec.gapMs),
-                                std::to_string(spec.events),
-                                address,
-                                log },
-                              {},
-                              directory_ + "/" + spec.id + ".log");
-    runnerLogs_[spec.id] = log;
-    store_.registerRawEndpoint(spec.id,
-                               "{\"service\":\"pool\",\"address\":\"" + address + "\",\"zone\":\"" + spec.zone
-                                   + "\",\"version\":\"" + spec.version
-                                   + "\",\"slots\":128,\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":1,\"born\":"
-                                   + std::to_string(unixMs()) + "}");
-    record("runner " + spec.id + " of software version " + spec.version + " in zone " + spec.zone);
+    Runner &runner = runners_[spec.id];
+    runner.spec = spec;
+    if (runner.address.empty()) {
+        runner.address = ip(50 + int(runners_.size())) + ":" + std::to_string(runnerPort);
+        runner.log = directory_ + "/" + spec.id + ".runs";
+    }
+    runner.process = spawn({ self_,
+                             "runner",
+                             spec.id,
+                             spec.zone,
+                             spec.version,
+                             std::to_string(spec.firstMs),
+                             std::to_string(spec.gapMs),
+                             std::to_string(spec.events),
+                             runner.address,
+                             runner.log },
+                           {},
+                           directory_ + "/" + spec.id + ".log");
+    runner.born = unixMs();
+    runner.sequence = 0;
+    registerRunner(runner);
+    record("runner " + spec.id + " of software version " + spec.version + " starts in zone " + spec.zone);
+}
+
+/** Writes a runner's entry, as it does at its start and every heartbeat. */
+void Fleet::registerRunner(Runner &runner)
+{
+    if (isStoreDown_) {
+        return;
+    }
+    store_.registerRawEndpoint(runner.spec.id,
+                               "{\"service\":\"pool\",\"address\":\"" + runner.address + "\",\"zone\":\""
+                                   + runner.spec.zone + "\",\"version\":\"" + runner.spec.version
+                                   + "\",\"slots\":128,\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":"
+                                   + std::to_string(++runner.sequence) + ",\"born\":" + std::to_string(runner.born)
+                                   + "}");
 }
 
 void Fleet::killRunner(const std::string &id)
 {
-    const auto process = std::exchange(runners_[id], 0);
-    kill(process, SIGKILL);
-    waitpid(process, nullptr, 0);
+    Runner &runner = runners_[id];
+    kill(runner.process, SIGKILL);
+    waitpid(runner.process, nullptr, 0);
+    runner.process = 0;
     record("runner " + id + " crashes (SIGKILL)");
     constexpr Duration registryTime = std::chrono::milliseconds(3600); // three heartbeats of silence
-    loop_.timers().once(loop_.clock().now() + registryTime, [this, id](Time) { store_.removeEndpoint(id); });
+    loop_.timers().once(loop_.clock().now() + registryTime, [this, id, born = runner.born](Time) {
+        const Runner &ended = runners_[id];
+        if (ended.process == 0 && ended.born == born) {
+            store_.removeEndpoint(id);
+        }
+    });
+}
+
+void Fleet::setStoreDown(bool isDown)
+{
+    isStoreDown_ = isDown;
+    store_.setFault(isDown ? platform_standin::Store::Fault::Unavailable : platform_standin::Store::Fault::None);
+    record(isDown ? "the store answers 503" : "the store is back");
+    for (auto &[id, runner] : runners_) {
+        if (!isDown && runner.process > 0) {
+            registerRunner(runner);
+        }
+    }
 }
 
 void Fleet::startVm(int vm, const std::string &zone, int memoryMb)
@@ -355,6 +402,12 @@
         const auto events = parser->feed(bytes);
         if (events && !events.value().empty()) {
             outcome->lastEventId = events.value().back().id;
+            for (const auto &event : events.value()) {
+                const auto version = event.data.substr(0, event.data.find(' '));
+                if (outcome->versions.empty() || outcome->versions.back() != version) {
+                    outcome->versions.push_back(version);
+                }
+            }
         }
     };
     handlers.onDone = [this, outcome](const net::HttpEnd &end) {
@@ -470,8 +523,8 @@
 std::map<std::string, std::string> Fleet::runs() const
 {
     std::map<std::string, std::string> result;
-    for (const auto &[id, path] : runnerLogs_) {
-        std::ifstream log(path);
+    for (const auto &[id, known] : runners_) {
+        std::ifstream log(known.log);
         std::string at;
         std::string word;
         std::string attempt;
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -36,6 +36,7 @@
     bool isComplete = false; ///< a whole answer
     int status = 0; ///< 0 if there was none
     std::string lastEventId;
+    std::vector<std::string> versions; ///< of the runners that wrote the events, in order, without repeats
     std::string receipt;
     bool onKeptChannel = false;
     int vm = -1;
@@ -51,8 +52,11 @@
     Fleet &operator=(const Fleet &) = delete;
 
     void publishState(const std::string &text);
+    /** Starts a runner, at the address that it had if it has run before; it registers if the store is up. */
     void startRunner(const RunnerSpec &spec);
     void killRunner(const std::string &id);
+    /** The store answers 503 to everybody, or ends that. */
+    void setStoreDown(bool isDown);
     void startVm(int vm, const std::string &zone, int memoryMb = 260);
     void signalVm(int vm, int number);
     /** @return how the process ended; empty while it runs */
@@ -113,8 +117,19 @@
     platform_standin::Store store_;
     std::string storeAddress_;
     std::map<int, Process> vms_;
-    std::map<std::string, pid_t> runners_;
-    std::map<std::string, std::string> runnerLogs_;
+    /** A runner, and its entry in the store. */
+    struct Runner {
+        RunnerSpec spec;
+        std::string address;
+        std::string log;
+        pid_t process = 0; ///< 0 while it is down
+        std::int64_t born = 0;
+        int sequence = 0;
+    };
+    void registerRunner(Runner &runner);
+
+    std::map<std::string, Runner> runners_;
+    bool isStoreDown_ = false;
     std::vector<Requester> requesters_;
     int rawAnswers_ = 0;
     net::HttpClient prober_;
