--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -48,8 +48,8 @@
 int crashWithLongPrompts(Fleet &fleet, bool hasTrouble)
 {
     constexpr int vms = 3;
-    constexpr int requestsPerVm = 18;
-    constexpr int parts = 1'200; // 14.4 kB of 16,384 B that a head may have
+    constexpr int requestsPerVm = 60;
+    constexpr int parts = 400; // heads of 5 kB, of 16,384 B that they may have
     fleet.publishState(stateText(false));
     for (int index = 0; index < 4; ++index) { // one of four is within the share of runners that may crash
         fleet.startRunner(
