--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -17,17 +17,29 @@
 constexpr int broken = 1;
 constexpr int unusable = 2;
 
-/** A desired state of one service of engines. */
-std::string stateText(bool isResumable)
+/** A desired state of a service of engines, and of one that makes pieces for a route with a stage. */
+std::string stateText(bool isResumable, bool hasStages = false)
 {
     const std::string common = ",\"host\":\"h.example\",\"target-latency-ms\":1700,\"timeout-ms\":20000,\"priority\":0,"
-                               "\"service\":\"pool\",\"attempts\":2,\"stages\":[],\"public\":false,\"sticky\":true";
+                               "\"service\":\"pool\",\"attempts\":2,\"public\":false,\"sticky\":true";
+    const std::string stagedRoute = hasStages
+        ? "},{\"name\":\"bid\",\"path-prefix\":\"/bid/\",\"kind\":\"streaming\",\"gap-aim-ms\":250,"
+          "\"resumable\":false,\"stages\":[{\"service\":\"intake\",\"after\":[],\"bytes\":1500000}]"
+            + common
+        : std::string();
+    const std::string stageService = hasStages
+        ? ",{\"name\":\"intake\",\"health-path\":\"/health\",\"max-conns\":620,\"protocol\":\"h1\",\"tls\":false,"
+          "\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":14,\"call-ms\":200.0,\"item-ms\":12.0,"
+          "\"headroom-mb\":32.0,\"handle-s\":4.0,\"link-mbps\":10000}}"
+        : std::string();
     return "{\"version\":1,\"routes\":[{\"name\":\"chat\",\"path-prefix\":\"/chat/\",\"kind\":\"streaming\","
            "\"gap-aim-ms\":250,\"resumable\":"
-        + std::string(isResumable ? "true" : "false") + common
-        + "},{\"name\":\"read\",\"path-prefix\":\"/read/\",\"kind\":\"safe\",\"resumable\":false" + common
+        + std::string(isResumable ? "true" : "false") + ",\"stages\":[]" + common + stagedRoute
+        + "},{\"name\":\"read\",\"path-prefix\":\"/read/\",\"kind\":\"safe\",\"resumable\":false,\"stages\":[]" + common
         + "}],\"services\":[{\"name\":\"pool\",\"health-path\":\"/health\",\"max-conns\":620,\"protocol\":\"h1\","
-          "\"tls\":false,\"engine\":{\"slots\":128,\"kv-tokens\":645952}}],\"limits\":{\"max-header-bytes\":16384,"
+          "\"tls\":false,\"engine\":{\"slots\":128,\"kv-tokens\":645952}}"
+        + stageService
+        + "],\"limits\":{\"max-header-bytes\":16384,"
           "\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
           "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"key-of-t\"]}]}";
 }
@@ -339,6 +351,86 @@
     return mixed > 2 ? broken : held;
 }
 
+/** Clients send requests with many pieces and a long Piece-Key. */
+int memoryOfPieceKeys(Fleet &fleet, bool hasTrouble)
+{
+    constexpr int vms = 3;
+    constexpr int memoryMb = 260;
+    constexpr std::size_t bytesPerMb = 1'000'000;
+    constexpr std::size_t limit = memoryMb * bytesPerMb * 105 / 100; // so that 260 MiB pass
+    constexpr int strangers = 24;
+    fleet.publishState(stateText(false, true));
+    for (int index = 0; index < 3; ++index) {
+        const std::string zone(1, char('a' + index));
+        fleet.startRunner({ "r-" + std::to_string(index), zone, "v1", 20, 20, 1 });
+        fleet.startRunner({ "s-" + std::to_string(index), zone, "v1", 20, 20, 1, "intake" });
+    }
+    for (int vm = 0; vm < vms; ++vm) {
+        fleet.startVm(vm, std::string(1, char('a' + vm)), memoryMb);
+    }
+    for (int vm = 0; vm < vms; ++vm) {
+        if (!fleet.waitReady(vm)) {
+            return unusable;
+        }
+    }
+    fleet.runFor(4s);
+    const std::string key(15'000, 'c');
+    std::vector<Fleet::Requester> channels;
+    std::vector<std::shared_ptr<Outcome>> pending(strangers);
+    for (int index = 0; index < strangers; ++index) {
+        channels.push_back(fleet.newRequester());
+    }
+    const auto ordinary = fleet.newRequester();
+    std::shared_ptr<Outcome> ordinaryOutcome;
+    int sent = 0;
+    int ordinarySent = 0;
+    int ordinaryServed = 0;
+    std::size_t largest = 0;
+    bool isOver = false;
+    const Time end = fleet.loop().clock().now() + 10s;
+    while (fleet.loop().clock().now() < end && !isOver) {
+        for (std::size_t index = 0; hasTrouble && index < strangers; ++index) {
+            if (!pending[index] || pending[index]->isDone) {
+                pending[index] = fleet.send(channels[index],
+                                            int(index) % vms,
+                                            "/bid/x",
+                                            "stranger-" + std::to_string(++sent),
+                                            { { "Model", "m" }, { "Pieces", "1000" }, { "Piece-Key", key } },
+                                            5'000);
+            }
+        }
+        if (!ordinaryOutcome || ordinaryOutcome->isDone) {
+            ordinaryServed += ordinaryOutcome && ordinaryOutcome->status == 200 ? 1 : 0;
+            ordinaryOutcome = fleet.send(ordinary,
+                                         ++ordinarySent % vms,
+                                         "/bid/x",
+                                         "ordinary-" + std::to_string(ordinarySent),
+                                         { { "Model", "m" }, { "Pieces", "3" }, { "Piece-Key", "cafe" } },
+                                         3'000);
+        }
+        fleet.runFor(20ms);
+        for (int vm = 0; vm < vms; ++vm) {
+            const auto peak = fleet.peakBytes(vm);
+            if (peak / (20 * bytesPerMb) > largest / (20 * bytesPerMb)) {
+                fleet.record("vm-" + std::to_string(vm) + " has had " + std::to_string(peak / bytesPerMb)
+                             + " MB resident");
+            }
+            largest = std::max(largest, peak);
+            if (peak > limit) {
+                fleet.record("vm-" + std::to_string(vm) + " exceeds memory-mb; the platform kills it");
+                fleet.signalVm(vm, SIGKILL);
+                isOver = true;
+            }
+        }
+    }
+    fleet.runFor(200ms);
+    fleet.record("requests with many pieces: " + std::to_string(sent) + "; ordinary requests: "
+                 + std::to_string(ordinarySent) + ", served: " + std::to_string(ordinaryServed));
+    fleet.record("largest resident memory: " + std::to_string(largest / bytesPerMb) + " MB of "
+                 + std::to_string(memoryMb) + " MB");
+    return isOver ? broken : held;
+}
+
 /** Clients outside the limits send heads that name many headers of one channel. */
 int hangOnConnectionHeader(Fleet &fleet, bool hasTrouble)
 {
@@ -414,6 +506,7 @@
         : name == "taken-up-after-roll"                  ? takenUpAfterRoll(fleet, hasTrouble)
         : name == "memory-of-prompt-parts"               ? memoryOfPromptParts(fleet, hasTrouble)
         : name == "flap-with-new-version"                ? flapWithNewVersion(fleet, hasTrouble)
+        : name == "memory-of-piece-keys"                 ? memoryOfPieceKeys(fleet, hasTrouble)
         : name == "hang-on-connection-header"            ? hangOnConnectionHeader(fleet, hasTrouble)
                                                          : unusable;
     fleet.record(result == broken ? "the rule is broken" : result == held ? "the rule held" : "the case could not run");
--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -69,6 +69,20 @@
     int next = 1;
 };
 
+/** Makes every piece of a call at once. */
+void answerPieces(const net::HttpRequest &call, const std::string &address, net::ResponseWriter &writer)
+{
+    static int results = 0;
+    constexpr std::string_view mark = "\"id\":";
+    const std::string body = call.body.text();
+    std::string items;
+    for (auto at = body.find(mark); at != std::string::npos; at = body.find(mark, at + 1)) {
+        items += std::string(items.empty() ? "" : ",") + "{\"handle\":\"" + address + "/" + std::to_string(++results)
+            + "\"}";
+    }
+    writer.respond(200, { { "Runner-Load", "0,0,1" } }, "{\"items\":[" + items + "]}");
+}
+
 } // namespace
 
 int runRunner(const RunnerSpec &spec, const std::string &address, const std::string &logPath)
@@ -97,6 +111,14 @@
                 writer.respond(421, { { "Runner-Id", spec.id } }, {});
                 return;
             }
+            if (request.target == "/v1/stage-run") {
+                answerPieces(request, address, writer);
+                return;
+            }
+            if (request.target == "/v1/stage-free") {
+                writer.respond(200, {}, {});
+                return;
+            }
             const std::string attempt = headerOf(request, "Attempt-Id");
             const std::string after = headerOf(request, "Last-Event-Id");
             log << unixMs() << " run " << attempt << " " << spec.id << " after=" << after << std::endl;
@@ -256,8 +278,8 @@
         return;
     }
     store_.registerRawEndpoint(runner.spec.id,
-                               "{\"service\":\"pool\",\"address\":\"" + runner.address + "\",\"zone\":\""
-                                   + runner.spec.zone + "\",\"version\":\"" + runner.spec.version
+                               "{\"service\":\"" + runner.spec.service + "\",\"address\":\"" + runner.address
+                                   + "\",\"zone\":\"" + runner.spec.zone + "\",\"version\":\"" + runner.spec.version
                                    + "\",\"slots\":128,\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":"
                                    + std::to_string(++runner.sequence) + ",\"born\":" + std::to_string(runner.born)
                                    + "}");
@@ -319,17 +341,27 @@
     return process.id == 0 ? std::optional(process.ending) : std::nullopt;
 }
 
-std::size_t Fleet::residentBytes(int vm) const
+std::size_t Fleet::memoryFigure(int vm, const std::string &name) const
 {
     std::ifstream status("/proc/" + std::to_string(vms_.at(vm).id) + "/status");
     for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmRSS:")) {
-            return std::stoul(line.substr(6)) * 1024;
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size())) * 1024;
         }
     }
     return 0;
 }
 
+std::size_t Fleet::residentBytes(int vm) const
+{
+    return memoryFigure(vm, "VmRSS:");
+}
+
+std::size_t Fleet::peakBytes(int vm) const
+{
+    return memoryFigure(vm, "VmHWM:");
+}
+
 bool Fleet::isReady(int vm, Duration limit)
 {
     net::HttpCall call;
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -24,6 +24,7 @@
     int firstMs = 100; ///< until the first event or the answer
     int gapMs = 250; ///< between two events
     int events = 20; ///< of a whole stream
+    std::string service = "pool";
 };
 
 /** Runs a runner in this process until it is killed. */
@@ -62,6 +63,8 @@
     /** @return how the process ended; empty while it runs */
     std::optional<std::string> ending(int vm);
     std::size_t residentBytes(int vm) const;
+    /** @return the most that a process has had resident since its start */
+    std::size_t peakBytes(int vm) const;
     bool waitReady(int vm);
     bool isReady(int vm, Duration limit = std::chrono::seconds(3));
 
@@ -98,6 +101,7 @@
     }
 
 private:
+    std::size_t memoryFigure(int vm, const std::string &name) const;
     struct Process {
         pid_t id = 0;
         std::string ending;
