--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -496,7 +496,7 @@
 /** Clients outside the limits send heads that name many headers of one channel. */
 int hangOnConnectionHeader(Fleet &fleet, bool hasTrouble)
 {
-    constexpr int strangers = 10;
+    constexpr int strangers = 20;
     constexpr int ordinaryLimitMs = 1'500;
     fleet.publishState(stateText(false));
     fleet.startRunner({ "r-0", "a", "v1", 20, 20, 1 });
