--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 /**
@@ -475,7 +476,11 @@
     /** An endpoint that crashes does so within this time after the beginning of the answer that causes it. */
     static constexpr Duration maxCrashDelay = std::chrono::seconds(1);
 
-    /** Records a crash. @return the parts for which it adds something */
+    /**
+     * Records a crash. Parts may be forgotten again at any later change, as their number is bounded.
+     *
+     * @return the parts for which it adds something, those with most crashes first
+     */
     std::vector<PromptPartId> recordCrash(const routing::EndpointLifetime &endpoint,
                                           std::span<const LostRequest> requests,
                                           Time now);
@@ -511,7 +516,8 @@
     bool isExplained(const routing::EndpointLifetime &endpoint) const;
     /** Returns whether one request with a quarantined part may be sent, to find out whether endpoints still crash. */
     bool isTrialDue(PromptPartId part, Time now) const;
-    void recordTrial(PromptPartId part, Time now);
+    /** @return the number of trials so far */
+    std::uint32_t recordTrial(PromptPartId part, Time now);
 
     /** Returns null if the part was in flight at no crash, as far as it is known. */
     const SuspectPart *find(PromptPartId part) const;
@@ -535,7 +541,9 @@
         Time countsAt;
     };
 
+    std::unordered_set<PromptPartId> selectNewParts(std::span<const LostRequest *const> requests) const;
     SuspectPart &findOrAdd(PromptPartId part);
+    void makeRoom(std::size_t count);
     static bool addCrash(SuspectPart &part, const PartCrash &crash);
     static bool applySuccess(SuspectPart &part, Time beganAt);
     void recordSuccess(PromptPartId part, Time beganAt, Changes &changes);
--- a/libs/dispatch/src/prompt_part_tracker.cpp
+++ b/libs/dispatch/src/prompt_part_tracker.cpp
@@ -33,6 +33,8 @@
 constexpr Duration suspectTtl = std::chrono::minutes(10);
 /** Bounds on memory: shared parts in flight at the crash of a large part of the fleet, and parts in use. */
 constexpr std::size_t maxSuspects = 4096;
+/** Parts without a crash so far that one crash adds, so that it doesn't displace what other crashes have shown. */
+constexpr std::size_t maxNewPartsPerCrash = 1024;
 constexpr std::size_t maxCrashesPerPart = 16;
 constexpr std::size_t maxSuccesses = 4096;
 
@@ -105,26 +107,73 @@
                                                          Time now)
 {
     std::erase_if(pendingAnswers_, [&](const PendingAnswer &answer) { return answer.endpoint == endpoint; });
-    std::set<PromptPartId> changed;
+    const auto answerTime = [](const LostRequest &request) -> Duration {
+        return request.answerBeganAt ? request.lostAt - *request.answerBeganAt : Duration::zero();
+    };
+    std::vector<const LostRequest *> candidates;
     for (const auto &request : requests) {
-        const Duration answerTime = request.answerBeganAt ? request.lostAt - *request.answerBeganAt : Duration::zero();
-        if (answerTime > maxCrashDelay) {
-            continue;
+        if (answerTime(request) <= maxCrashDelay) {
+            candidates.push_back(&request);
         }
-        for (std::uint32_t position = 0; position < request.sharedParts.size(); ++position) {
-            SuspectPart &part = findOrAdd(request.sharedParts[position]);
-            part.position = std::max(part.position, position);
-            part.longestAnswer = std::max(part.longestAnswer, answerTime);
-            if (addCrash(
-                    part,
-                    { endpoint, request.answerBeganAt.value_or(request.lostAt), request.answerBeganAt.has_value() })) {
-                part.updatedAt = now;
-                changed.insert(part.part);
+    }
+    const auto newParts = selectNewParts(candidates);
+    std::set<PromptPartId> changed;
+    const auto record = [&](const auto &isMeant) {
+        for (const auto *request : candidates) {
+            for (std::uint32_t position = 0; position < request->sharedParts.size(); ++position) {
+                if (!isMeant(request->sharedParts[position])) {
+                    continue;
+                }
+                SuspectPart &part = findOrAdd(request->sharedParts[position]);
+                part.position = std::max(part.position, position);
+                part.longestAnswer = std::max(part.longestAnswer, answerTime(*request));
+                if (addCrash(part,
+                             { endpoint,
+                               request->answerBeganAt.value_or(request->lostAt),
+                               request->answerBeganAt.has_value() })) {
+                    part.updatedAt = now;
+                    changed.insert(part.part);
+                }
             }
         }
-    }
+    };
+    // Those with earlier crashes first: the new ones must not displace them.
+    record([&](PromptPartId part) { return parts_.contains(part); });
+    makeRoom(newParts.size());
+    record([&](PromptPartId part) { return newParts.contains(part); });
+    std::erase_if(changed, [this](PromptPartId part) { return !parts_.contains(part); });
     hasChanged_ = hasChanged_ || !changed.empty();
-    return { changed.begin(), changed.end() };
+    std::vector<PromptPartId> result(changed.begin(), changed.end());
+    std::stable_sort(result.begin(), result.end(), [this](PromptPartId a, PromptPartId b) {
+        return parts_.at(a).crashes.size() > parts_.at(b).crashes.size();
+    });
+    return result;
+}
+
+/**
+ * Returns the parts in flight at a crash that become suspect. If there are too many, they are the last ones of each
+ * prompt: those before them are shared more widely, so they are in use elsewhere too.
+ */
+std::unordered_set<PromptPartId> PromptPartTracker::selectNewParts(std::span<const LostRequest *const> requests) const
+{
+    std::size_t longest = 0;
+    for (const auto *request : requests) {
+        longest = std::max(longest, request->sharedParts.size());
+    }
+    std::unordered_set<PromptPartId> selected;
+    for (std::size_t depth = 1; depth <= longest; ++depth) {
+        for (const auto *request : requests) {
+            const auto &parts = request->sharedParts;
+            if (depth > parts.size() || parts_.contains(parts[parts.size() - depth])) {
+                continue;
+            }
+            if (selected.size() >= maxNewPartsPerCrash) {
+                return selected;
+            }
+            selected.insert(parts[parts.size() - depth]);
+        }
+    }
+    return selected;
 }
 
 void PromptPartTracker::recordRequestCrashes(std::span<const EndpointLifetime> endpoints, Time now)
@@ -293,12 +342,13 @@
     return now - last >= trialDelay(suspect->trialCount);
 }
 
-void PromptPartTracker::recordTrial(PromptPartId part, Time now)
+std::uint32_t PromptPartTracker::recordTrial(PromptPartId part, Time now)
 {
     SuspectPart &suspect = findOrAdd(part);
     ++suspect.trialCount;
     suspect.lastTrialAt = now;
     suspect.updatedAt = now;
+    return suspect.trialCount;
 }
 
 const SuspectPart *PromptPartTracker::find(PromptPartId part) const
@@ -333,32 +383,43 @@
     }
 }
 
-/** Returns the entry of a part. A new one replaces the least recently updated one that is not quarantined if there is
- * no room. */
+/** Returns the entry of a part, with room for a new one. */
 SuspectPart &PromptPartTracker::findOrAdd(PromptPartId part)
 {
     const auto found = parts_.find(part);
     if (found != parts_.end()) {
         return found->second;
     }
-    if (parts_.size() >= maxSuspects) {
-        auto oldest = parts_.end();
-        for (auto it = parts_.begin(); it != parts_.end(); ++it) {
-            const bool isOlder = oldest == parts_.end() || it->second.updatedAt < oldest->second.updatedAt;
-            if (isOlder && !quarantined_.contains(it->first)) {
-                oldest = it;
-            }
-        }
-        if (oldest != parts_.end()) {
-            parts_.erase(oldest);
-        }
-    }
+    makeRoom(1);
     SuspectPart &suspect = parts_[part];
     suspect.part = part;
     suspect.lastSuccessAt = knownSuccess(part);
     return suspect;
 }
 
+/** Removes the parts with the fewest crashes, the least recently updated first, but none that is quarantined. */
+void PromptPartTracker::makeRoom(std::size_t count)
+{
+    if (parts_.size() + count <= maxSuspects) {
+        return;
+    }
+    std::vector<const SuspectPart *> removable;
+    for (const auto &[id, part] : parts_) {
+        if (!quarantined_.contains(id)) {
+            removable.push_back(&part);
+        }
+    }
+    const std::size_t removed = std::min(parts_.size() + count - maxSuspects, removable.size());
+    const auto end = removable.begin() + static_cast<std::ptrdiff_t>(removed);
+    if (end != removable.end()) {
+        std::nth_element(removable.begin(), end, removable.end(), [](const SuspectPart *a, const SuspectPart *b) {
+            return std::tuple(a->crashes.size(), a->updatedAt, a->part)
+                < std::tuple(b->crashes.size(), b->updatedAt, b->part);
+        });
+    }
+    std::for_each(removable.begin(), end, [this](const SuspectPart *part) { parts_.erase(PromptPartId(part->part)); });
+}
+
 /**
  * Adds a crash unless a success has refuted it, or enough are known: if later ones replaced earlier ones, a part that
  * crashes many endpoints a second would never have been suspect for long enough.
--- a/tools/gateway/src/poison_prompt_guard.cpp
+++ b/tools/gateway/src/poison_prompt_guard.cpp
@@ -18,6 +18,8 @@
 /** Bounds on messages. Crashes are repeated, so that the loss of a message matters little. */
 constexpr std::size_t maxCrashesPerMessage = 4;
 constexpr std::size_t maxPartsPerMessage = 64;
+/** Parts of one crash that have a line of the log each. */
+constexpr std::size_t maxLoggedParts = 16;
 
 std::string storeName(PromptPartId part)
 {
@@ -60,10 +62,9 @@
         return Permission::Granted;
     }
     if (tracker_.isTrialDue(*part, context_.now()) && isResponsibleFor(*part)) {
-        tracker_.recordTrial(*part, context_.now());
+        const auto trial = tracker_.recordTrial(*part, context_.now());
         trialCounter_.add();
-        context_.logger.state("prompt part trial",
-                              { { "part", part->value() }, { "trial", tracker_.find(*part)->trialCount } });
+        context_.logger.state("prompt part trial", { { "part", part->value() }, { "trial", trial } });
         broadcast({ *part });
         return Permission::Trial;
     }
@@ -97,15 +98,27 @@
         return;
     }
     crashCounter_.add();
+    std::size_t logged = 0;
     for (const auto part : parts) {
-        const auto &suspect = *tracker_.find(part);
+        const auto *suspect = tracker_.find(part);
+        if (suspect == nullptr || logged == maxLoggedParts) {
+            continue;
+        }
+        ++logged;
         context_.logger.state("suspect prompt part",
                               { { "part", part.value() },
                                 { "endpoint", endpoint.endpoint },
-                                { "crashes", suspect.crashes.size() },
-                                { "position", suspect.position },
-                                { "longest_answer_ms", toMilliseconds(suspect.longestAnswer) },
-                                { "has_succeeded", suspect.lastSuccessAt.has_value() } });
+                                { "crashes", suspect->crashes.size() },
+                                { "position", suspect->position },
+                                { "longest_answer_ms", toMilliseconds(suspect->longestAnswer) },
+                                { "has_succeeded", suspect->lastSuccessAt.has_value() } });
+    }
+    if (parts.size() > logged) {
+        context_.logger.state("more suspect prompt parts",
+                              { { "endpoint", endpoint.endpoint },
+                                { "requests", requests.size() },
+                                { "parts", parts.size() },
+                                { "logged", logged } });
     }
     broadcast(parts);
     update();
@@ -192,13 +205,14 @@
         inquire(changes.unconfirmed);
     }
     for (const auto part : changes.quarantined) {
-        const auto &suspect = *tracker_.find(part);
         quarantineCounter_.add();
-        context_.logger.state("prompt part quarantined",
-                              { { "part", part.value() },
-                                { "crashes", suspect.crashes.size() },
-                                { "position", suspect.position },
-                                { "longest_answer_ms", toMilliseconds(suspect.longestAnswer) } });
+        if (const auto *suspect = tracker_.find(part)) {
+            context_.logger.state("prompt part quarantined",
+                                  { { "part", part.value() },
+                                    { "crashes", suspect->crashes.size() },
+                                    { "position", suspect->position },
+                                    { "longest_answer_ms", toMilliseconds(suspect->longestAnswer) } });
+        }
         if (isResponsibleFor(part)) {
             store(part);
         }
@@ -286,8 +300,10 @@
 
 void PoisonPromptGuard::store(PromptPartId part)
 {
-    storedParts_.insert(part);
-    state_.storeQuarantine(storeName(part), wire::encode(toMessage(*tracker_.find(part))));
+    if (const auto *suspect = tracker_.find(part)) {
+        storedParts_.insert(part);
+        state_.storeQuarantine(storeName(part), wire::encode(toMessage(*suspect)));
+    }
 }
 
 /** Returns whether this VM acts on a part on behalf of all: writes it to the store, and sends trials. */
--- a/tools/gateway/tests/poison_prompt_test.cpp
+++ b/tools/gateway/tests/poison_prompt_test.cpp
@@ -249,3 +249,68 @@
         harness.sendAndWait(0, "POST", "/stream/x", promptHeaders("again", { "aaaa", "bbbb", "own" }), "sound");
     cr_assert_eq(response.status, net::status::ok, "%d", response.status);
 }
+
+namespace
+{
+
+struct LongPromptsCase {
+    char name[32];
+    std::size_t requests;
+    std::size_t parts;
+};
+
+LongPromptsCase longPromptsCases[] = {
+    { "twelve of 400 parts", 12, 400 },
+    { "sixty of 400 parts", 60, 400 },
+    { "four of 1,200 parts", 4, 1'200 },
+};
+
+/** Returns parts that no other request has. */
+std::vector<std::string> ownParts(std::size_t request, std::size_t count)
+{
+    constexpr std::size_t firstId = 0x100000;
+    constexpr std::size_t digits = 17;
+    std::vector<std::string> parts;
+    for (std::size_t part = 0; part < count; ++part) {
+        char id[digits];
+        std::snprintf(id, digits, "%zx", firstId + request * count + part);
+        parts.emplace_back(id);
+    }
+    return parts;
+}
+
+} // namespace
+
+ParameterizedTestParameters(gateway, crashWithLongPromptsInFlightEndsNoVm)
+{
+    return cr_make_param_array(LongPromptsCase, longPromptsCases, std::size(longPromptsCases));
+}
+
+/** An endpoint's crash with over 4,096 prompt parts in flight ended the process of the VM (review/6, LOST). */
+ParameterizedTest(LongPromptsCase *test, gateway, crashWithLongPromptsInFlightEndsNoVm)
+{
+    Harness harness(1);
+    auto &engine = harness.addEndpoint("g0", "engine", Endpoint::Behaviour::Hold);
+    harness.addEndpoint("p0", "plain", Endpoint::Behaviour::Respond);
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 2);
+    std::vector<std::shared_ptr<std::optional<Response>>> responses;
+    for (std::size_t request = 0; request < test->requests; ++request) {
+        const auto id = "long" + std::to_string(request);
+        responses.push_back(
+            harness.sendAsync(0, "POST", "/stream/x", promptHeaders(id, ownParts(request, test->parts)), id));
+    }
+    harness.waitFor([&] { return engine.receivedRequests().size() == test->requests; }, "the requests");
+    engine.crash();
+    harness.waitFor(
+        [&] {
+            return harness.hasEnded(0)
+                || std::all_of(responses.begin(), responses.end(), [](const auto &r) { return r->has_value(); });
+        },
+        "responses");
+    cr_assert_not(harness.hasEnded(0), "%s", test->name);
+    harness.waitForLogLines({ 0 }, "\"suspect prompt part\"", 1);
+    const auto sound = harness.sendAndWait(0, "POST", "/safe/x", headers("sound"), "body");
+    cr_assert_eq(sound.status, net::status::ok, "%s: %d", test->name, sound.status);
+}
