--- a/libs/dispatch/src/poison_request_tracker.cpp
+++ b/libs/dispatch/src/poison_request_tracker.cpp
@@ -1,6 +1,7 @@
 #include <dispatch/dispatch.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace lacewing::dispatch
 {
@@ -150,12 +151,16 @@
     std::erase_if(suspects_, [&](const auto &item) { return isExpired(item.second, now); });
 }
 
-/** Returns the entry of a request; a new one replaces the least recently updated one if there is no room. */
+/** Returns the entry of a request. A new one replaces the least recently updated one that is not quarantined if there
+ * is no room. */
 Suspect &PoisonRequestTracker::findOrAdd(Fingerprint request)
 {
     if (!suspects_.contains(request) && suspects_.size() >= maxSuspects) {
         suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(), [](const auto &a, const auto &b) {
-            return a.second.updatedAt < b.second.updatedAt;
+            const auto key = [](const Suspect &suspect) {
+                return std::tuple(hasEnoughCrashes(suspect) && !suspect.isCleared, suspect.updatedAt);
+            };
+            return key(a.second) < key(b.second);
         }));
     }
     Suspect &suspect = suspects_[request];
--- a/libs/dispatch/tests/dispatch_test.cpp
+++ b/libs/dispatch/tests/dispatch_test.cpp
@@ -556,3 +556,18 @@
     cr_assert_null(tracker.find(Fingerprint(0)));
     cr_assert_not_null(tracker.find(Fingerprint(19'999)));
 }
+
+/** Suspects of one crash displaced requests that were quarantined, which then crashed endpoints again (review/6). */
+Test(poisonRequestTracker, quarantineOutlivesAFloodOfSuspects)
+{
+    constexpr Fingerprint poison(1);
+    PoisonRequestTracker tracker;
+    for (const char *endpoint : { "e1", "e2", "e3" }) {
+        tracker.recordCrash(poison, lifetime(endpoint), start);
+    }
+    for (std::uint64_t request = 100; request < 20'000; ++request) {
+        tracker.recordCrash(Fingerprint(request), lifetime("e4"), start + 1s);
+    }
+    cr_assert_eq(tracker.size(), 8192U);
+    cr_assert(tracker.isQuarantined(poison, start + 2s));
+}
