--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -107,7 +107,7 @@
 {
     if (notices_.quietUntil(endpoint.lifetime())) {
         // It answered a moment ago, so it has hardly crashed; its registration tells if it has.
-        for (const auto &onChecked : checkedEndpoints_.extract(endpoint.lifetime()).mapped()) {
+        for (const auto &onChecked : takeCheck(endpoint.lifetime())) {
             onChecked();
         }
         return;
@@ -117,7 +117,7 @@
     call.connectOnly = true;
     net::HttpHandlers handlers;
     handlers.onDone = [this, endpoint, attemptedAt = context_.now()](const net::HttpEnd &end) {
-        const auto check = checkedEndpoints_.extract(endpoint.lifetime());
+        const auto check = takeCheck(endpoint.lifetime());
         if (end.error && end.error->kind == ErrorKind::Unreachable) {
             reachability_.onConnectFailed(endpoint);
             onUnreachable(endpoint);
@@ -127,13 +127,20 @@
             // An endpoint that has crashed is down for longer than the delay of this attempt.
             state_.endpoints().clearDoubt(endpoint.lifetime());
         }
-        for (const auto &onChecked : check.mapped()) {
+        for (const auto &onChecked : check) {
             onChecked();
         }
     };
     client.start(std::move(call), { connectTimeout, 0s, 0s, 0s }, std::move(handlers));
 }
 
+/** Ends the check of an endpoint. @return what is to be called then */
+std::vector<std::function<void()>> PoisonRequestGuard::takeCheck(const routing::EndpointLifetime &endpoint)
+{
+    auto check = checkedEndpoints_.extract(endpoint);
+    return check ? std::move(check.mapped()) : std::vector<std::function<void()>>();
+}
+
 void PoisonRequestGuard::onUnreachable(const routing::EndpointEntry &endpoint)
 {
     const auto lifetime = endpoint.lifetime();
@@ -192,10 +199,11 @@
         const Fingerprint piece = lostPiece.request;
         suspectPieces_.recordCrash(piece, endpoint, context_.now());
         const auto lost = lostPieces_.find(piece);
-        if (lost == lostPieces_.end() || !suspectPieces_.isQuarantined(piece, context_.now())) {
+        const auto *suspect = suspectPieces_.find(piece);
+        if (lost == lostPieces_.end() || suspect == nullptr || !suspectPieces_.isQuarantined(piece, context_.now())) {
             continue;
         }
-        for (const auto &crash : suspectPieces_.find(piece)->crashes) {
+        for (const auto &crash : suspect->crashes) {
             recordCrash(crash, lost->second.request);
         }
     }
@@ -232,10 +240,11 @@
         return;
     }
     suspectCounter_.add();
+    const auto *suspect = suspects_.find(request);
     context_.logger.state("suspect request",
                           { { "fingerprint", request },
                             { "endpoint", endpoint.endpoint },
-                            { "crashes", suspects_.find(request)->crashes.size() },
+                            { "crashes", suspect != nullptr ? suspect->crashes.size() : 0 },
                             { "quarantined", isQuarantined(request) } });
     broadcast(request);
     if (isQuarantined(request)) {
@@ -248,7 +257,9 @@
 void PoisonRequestGuard::handleQuarantine(Fingerprint request)
 {
     quarantineCounter_.add();
-    prompts_.onRequestQuarantined(suspects_.find(request)->crashes);
+    if (const auto *suspect = suspects_.find(request)) {
+        prompts_.onRequestQuarantined(suspect->crashes);
+    }
 }
 
 void PoisonRequestGuard::onPartsQuarantined()
@@ -261,7 +272,8 @@
     if (!suspects_.recordSuccess(request, context_.now())) {
         return;
     }
-    const auto crashes = suspects_.find(request)->crashes.size();
+    const auto *suspect = suspects_.find(request);
+    const std::size_t crashes = suspect != nullptr ? suspect->crashes.size() : 0;
     context_.logger.state("suspect request cleared", { { "fingerprint", request }, { "crashes", crashes } });
     if (crashes > 1) {
         broadcast(request);
@@ -278,8 +290,9 @@
 /** Writes a quarantined request to the store, unless it is known to be there. */
 void PoisonRequestGuard::store(Fingerprint request)
 {
-    if (storedQuarantines_.insert(request).second) {
-        state_.storeQuarantine(storeName(request), wire::encode(toMessage(*suspects_.find(request))));
+    const auto *suspect = suspects_.find(request);
+    if (suspect != nullptr && storedQuarantines_.insert(request).second) {
+        state_.storeQuarantine(storeName(request), wire::encode(toMessage(*suspect)));
     }
 }
 
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -93,6 +93,7 @@
     void checkEndpoint(const routing::EndpointEntry &endpoint,
                        net::HttpClient &client,
                        std::function<void()> onChecked);
+    std::vector<std::function<void()>> takeCheck(const routing::EndpointLifetime &endpoint);
     void attemptConnection(const routing::EndpointEntry &endpoint, net::HttpClient &client);
     void confirmCrash(const routing::EndpointEntry &endpoint,
                       std::vector<dispatch::LostRequest> requests,
--- a/tools/gateway/tests/endpoint_notices_test.cpp
+++ b/tools/gateway/tests/endpoint_notices_test.cpp
@@ -1,5 +1,7 @@
 #include "fixture.h"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -106,6 +108,42 @@
     cr_assert_eq(f.arrivals(id), before, "%s: %zu more", test->endpoint, f.arrivals(id) - before);
 }
 
+/** What waits for the check of a lost connection was called after it had been freed if the endpoint asked for quiet. */
+Test(endpointNotices, piecesLostInAQuietTimeAreMadeElsewhere)
+{
+    constexpr std::size_t requests = 16;
+    Harness harness(1);
+    int calls = 0;
+    const std::string brokenOff =
+        "HTTP/1.1 503 Busy\r\n" + retryAfterHeaderText("60") + "Content-Length: 10\r\n\r\nbroken";
+    harness.addRawEndpoint("first1", "first", [&](const std::string &) -> RawEndpoint::Answer {
+        ++calls;
+        return { { brokenOff }, RawEndpoint::Ending::Close };
+    });
+    harness.addEndpoint("first2", "first", Behaviour::Respond);
+    harness.addEndpoint("second1", "second", Behaviour::Respond);
+    harness.addEndpoint("engine1", "engine", Behaviour::Stream);
+    harness.store().publishDesiredState(makeState(1, allRoutes()));
+    harness.start();
+    harness.waitForLogLines({ 0 }, "\"endpoint joined\"", 4);
+    std::vector<std::shared_ptr<std::optional<Response>>> responses;
+    for (std::size_t request = 0; request < requests; ++request) {
+        const auto id = "staged" + std::to_string(request);
+        responses.push_back(harness.sendAsync(0, "POST", "/staged/x", stagedHeaders(id, { 4, 1 }), id));
+    }
+    harness.waitFor(
+        [&] {
+            return harness.hasEnded(0)
+                || std::all_of(responses.begin(), responses.end(), [](const auto &r) { return r->has_value(); });
+        },
+        "responses");
+    cr_assert_not(harness.hasEnded(0));
+    cr_assert_eq(calls, 1, "%d calls", calls);
+    for (const auto &response : responses) {
+        cr_assert_eq((*response)->status, net::status::ok, "%d", (*response)->status);
+    }
+}
+
 ParameterizedTestParameters(endpointNotices, callersReturnWhenTheFirstEndpointDoes)
 {
     return cr_make_param_array(QuietCase, quietCases, std::size(quietCases));
