--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -134,6 +134,16 @@
     client.start(std::move(call), { connectTimeout, 0s, 0s, 0s }, std::move(handlers));
 }
 
+bool PoisonRequestGuard::awaitCheck(const routing::EndpointLifetime &endpoint, std::function<void()> onChecked)
+{
+    const auto check = checkedEndpoints_.find(endpoint);
+    if (check == checkedEndpoints_.end()) {
+        return false;
+    }
+    check->second.push_back(std::move(onChecked));
+    return true;
+}
+
 /** Ends the check of an endpoint. @return what is to be called then */
 std::vector<std::function<void()>> PoisonRequestGuard::takeCheck(const routing::EndpointLifetime &endpoint)
 {
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -59,6 +59,12 @@
                     std::span<const stages::PieceTask> pieces,
                     net::HttpClient &client,
                     std::function<void()> onChecked);
+    /**
+     * Waits until it is known whether an endpoint that has lost a connection accepts others.
+     *
+     * @return false if that is not being found out now; the function is not called then
+     */
+    bool awaitCheck(const routing::EndpointLifetime &endpoint, std::function<void()> onChecked);
     /** Called when no connection can be established. */
     void onUnreachable(const routing::EndpointEntry &endpoint);
     /** Called when a request ran to a successful end. */
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -100,6 +100,9 @@
     }
     const std::size_t maxConnections = service != nullptr ? service->maxConnections : 0;
     const auto *entry = placement_->choose(triedEndpoints_, maxConnections, reservedEndpoint_, origin_, results);
+    if (entry == nullptr && awaitCheck([](RequestHandler &self) { self.selectAndSend(); })) {
+        return;
+    }
     if (entry == nullptr) {
         rejectOrFail(origin_ ? "no endpoint of the stream's software version" : "no endpoint available",
                      retryAfterTime());
@@ -108,8 +111,34 @@
     sendTo(*entry);
 }
 
+/**
+ * Waits, once for each attempt, for the check of an endpoint that could continue the stream if it has not crashed.
+ *
+ * @return false if no such endpoint is being checked
+ */
+bool RequestHandler::awaitCheck(const std::function<void(RequestHandler &)> &onChecked)
+{
+    if (!origin_ || std::exchange(isCheckAwaited_, true)) {
+        return false;
+    }
+    for (const auto &lifetime : placement_->doubtfulEndpoints(*origin_, triedEndpoints_)) {
+        const bool isChecked = shared_.poisonRequests.awaitCheck(lifetime, [weak = weak_from_this(), onChecked] {
+            const auto self = weak.lock();
+            if (self && self->phase_ == Phase::ConfirmingEndpoints) {
+                onChecked(*self);
+            }
+        });
+        if (isChecked) {
+            phase_ = Phase::ConfirmingEndpoints;
+            return true;
+        }
+    }
+    return false;
+}
+
 void RequestHandler::beginAttempt()
 {
+    isCheckAwaited_ = false;
     phase_ = Phase::AwaitingHead;
     clearBufferedBody();
     eventSplitter_ = {};
--- a/tools/gateway/src/request_handler.cpp
+++ b/tools/gateway/src/request_handler.cpp
@@ -74,6 +74,13 @@
                        service_,
                        cost::RequestClass::ofRequest(route_->id, request_.body.size()),
                        route_->isRetryable() ? dispatch::Repetition::Allowed : dispatch::Repetition::Forbidden);
+    if (!origin_ || placement_->canResume(*origin_) || !awaitCheck([](RequestHandler &self) { self.startWork(); })) {
+        startWork();
+    }
+}
+
+void RequestHandler::startWork()
+{
     if (origin_ && !placement_->canResume(*origin_)) {
         reject(net::status::unavailable, "no endpoint of the stream's software version", retryAfterTime());
         return;
--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -5,6 +5,7 @@
 #include "request_placement.h"
 #include "request_stages.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,7 @@
     void findOrigin();
     void resumeFrom(const std::optional<routing::StreamOrigin> &origin, std::string_view source);
     void run();
+    void startWork();
     bool rejectIfQuarantined();
     bool rejectIfStopping(const shutdown::CompletionTimes &times);
     void recordCompletionTime();
@@ -71,6 +73,7 @@
     void selectAndSend();
     void awaitConfirmation();
     void confirmEndpoints();
+    bool awaitCheck(const std::function<void(RequestHandler &)> &onChecked);
     bool continuesStream() const noexcept;
     void sendTo(const routing::EndpointEntry &entry);
     void sendByRelay(const ResultBytes &results);
@@ -150,6 +153,7 @@
     routing::EventSequence forwardedEvents_; ///< of a stream that may be resumed
     bool hasForwardedEvent_ = false; ///< whether an event of the latest attempt was forwarded
     bool areEndpointsConfirmed_ = false; ///< for the next attempt
+    bool isCheckAwaited_ = false; ///< the next attempt has waited for the check of an endpoint in doubt
     /** Where the stream began; empty until an event of it is forwarded, unless the request resumes a stream. */
     std::optional<routing::StreamOrigin> origin_;
     std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
--- a/tools/gateway/src/request_placement.cpp
+++ b/tools/gateway/src/request_placement.cpp
@@ -170,6 +170,19 @@
         available.begin(), available.end(), [&](const auto *entry) { return canResumeAt(origin, *entry); });
 }
 
+std::vector<routing::EndpointLifetime> RequestPlacement::doubtfulEndpoints(const routing::StreamOrigin &origin,
+                                                                           std::span<const EndpointId> tried) const
+{
+    std::vector<routing::EndpointLifetime> result;
+    for (const auto *entry : shared_.state.endpoints().availableEndpoints(service_)) {
+        const bool wasTried = std::find(tried.begin(), tried.end(), entry->id) != tried.end();
+        if (!wasTried && origin.matches(*entry) && !canResumeAt(origin, *entry)) {
+            result.push_back(entry->lifetime());
+        }
+    }
+    return result;
+}
+
 RequestCost RequestPlacement::costAt(const routing::EndpointEntry &entry) const
 {
     RequestCost cost;
--- a/tools/gateway/src/request_placement.h
+++ b/tools/gateway/src/request_placement.h
@@ -5,6 +5,7 @@
 #include "request_stages.h"
 
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace lacewing::gateway
@@ -48,6 +49,9 @@
                                          const ResultBytes &results) const;
     /** Returns whether the service has an endpoint that can resume a stream. */
     bool canResume(const routing::StreamOrigin &origin) const;
+    /** Returns the endpoints that could continue a stream, but may have crashed. @param tried to be left out */
+    std::vector<routing::EndpointLifetime> doubtfulEndpoints(const routing::StreamOrigin &origin,
+                                                             std::span<const EndpointId> tried) const;
     /** Returns what the request costs an endpoint. */
     RequestCost costAt(const routing::EndpointEntry &entry) const;
 
--- a/tools/gateway/tests/software_version_test.cpp
+++ b/tools/gateway/tests/software_version_test.cpp
@@ -67,6 +67,12 @@
             "b");
     }
 
+    /** Returns whether a resumed stream has gone on to its end; a refusal is a complete response as well. */
+    static bool hasGoneOn(const Response &response)
+    {
+        return response.isComplete && response.status == net::status::ok;
+    }
+
     /** Returns the number of streams that an engine has resumed. */
     static std::size_t resumptions(const Endpoint &engine)
     {
@@ -196,7 +202,7 @@
     for (const auto &id : begun) {
         // A try may come again, and names the request that brought the first event each time.
         for (int count = 0; count < 2; ++count) {
-            resumed += f.resume(test->next, id).isComplete ? 1 : 0;
+            resumed += Fleet::hasGoneOn(f.resume(test->next, id)) ? 1 : 0;
         }
     }
     cr_expect_eq(Fleet::resumptions(*f.engines[1]) + Fleet::resumptions(*f.engines[2]),
@@ -260,7 +266,7 @@
 {
     Fleet f(3, { "v1", "v1" });
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
-        cr_expect(f.resume(vm, "never-seen").isComplete, "refused at vm %zu", vm);
+        cr_expect(Fleet::hasGoneOn(f.resume(vm, "never-seen")), "refused at vm %zu", vm);
     }
 }
 
@@ -274,7 +280,7 @@
         f.harness.waitForLogLines({ vm }, "\"endpoint joined\"", 2);
     }
     for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
-        cr_expect(f.resume(vm, begun).isComplete, "refused at vm %zu", vm);
+        cr_expect(Fleet::hasGoneOn(f.resume(vm, begun)), "refused at vm %zu", vm);
     }
     cr_expect_eq(Fleet::resumptions(*f.engines[1]), 0U);
 }
