--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -4,6 +4,7 @@
 #include <wire/wire.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -535,10 +536,13 @@
 public:
     explicit StreamOriginTable(std::size_t capacity);
 
-    /** Records an origin until a time; one that is known already stays as it is. */
+    /** Records an origin until a time. If another one is known already, that stays; if the same, the later time counts.
+     */
     void insert(StreamKey stream, const StreamOrigin &origin, Time expiresAt);
     /** Returns null if the stream is not known, or no longer. */
     const StreamOrigin *find(StreamKey stream, Time now) const;
+    /** Calls a function for all that are known. */
+    void forEach(Time now, const std::function<void(StreamKey, const StreamOrigin &, Time expiresAt)> &function) const;
     void expire(Time now);
     std::size_t size() const noexcept
     {
--- a/libs/routing/src/stream_origins.cpp
+++ b/libs/routing/src/stream_origins.cpp
@@ -12,7 +12,12 @@
 
 void StreamOriginTable::insert(StreamKey stream, const StreamOrigin &origin, Time expiresAt)
 {
-    if (entries_.contains(stream)) {
+    if (const auto known = entries_.find(stream); known != entries_.end()) {
+        if (expiresAt > known->second.expiresAt && origins_[known->second.origin] == origin) {
+            byExpiry_.erase({ known->second.expiresAt, stream });
+            byExpiry_.emplace(expiresAt, stream);
+            known->second.expiresAt = expiresAt;
+        }
         return;
     }
     if (entries_.size() >= capacity_) {
@@ -34,6 +39,14 @@
     return found == entries_.end() || found->second.expiresAt <= now ? nullptr : &origins_[found->second.origin];
 }
 
+void StreamOriginTable::forEach(
+    Time now, const std::function<void(StreamKey, const StreamOrigin &, Time expiresAt)> &function) const
+{
+    for (auto entry = byExpiry_.rbegin(); entry != byExpiry_.rend() && entry->first > now; ++entry) {
+        function(entry->second, origins_[entries_.at(entry->second).origin], entry->first);
+    }
+}
+
 void StreamOriginTable::expire(Time now)
 {
     while (!byExpiry_.empty() && byExpiry_.begin()->first <= now) {
--- a/libs/routing/tests/software_version_test.cpp
+++ b/libs/routing/tests/software_version_test.cpp
@@ -155,6 +155,36 @@
     cr_assert_eq(table.size(), 0U);
 }
 
+/** A stream that broke off and went on lasts longer than was known when it began. */
+Test(streamOriginTable, keepsAnOriginUntilTheLatestOfItsTimes)
+{
+    StreamOriginTable table(100);
+    table.insert(StreamKey(1), { engine, v1 }, start + 10s);
+    table.insert(StreamKey(1), { engine, v1 }, start + 20s);
+    table.insert(StreamKey(1), { engine, v1 }, start + 15s);
+    table.expire(start + 10s);
+    cr_assert_not_null(table.find(StreamKey(1), start + 10s));
+    cr_assert_null(table.find(StreamKey(1), start + 20s));
+    table.expire(start + 20s);
+    cr_assert_eq(table.size(), 0U);
+}
+
+Test(streamOriginTable, visitsWhatHasNotExpired)
+{
+    StreamOriginTable table(100);
+    for (std::uint64_t stream = 1; stream <= 4; ++stream) {
+        table.insert(StreamKey(stream), { engine, stream % 2 == 0 ? v1 : v2 }, start + stream * 1s);
+    }
+    std::size_t visited = 0;
+    table.forEach(start + 2s, [&](StreamKey stream, const StreamOrigin &origin, Time expiresAt) {
+        ++visited;
+        cr_assert_geq(stream.value(), 3U);
+        cr_assert(origin.version == (stream.value() % 2 == 0 ? v1 : v2));
+        cr_assert(expiresAt == start + stream.value() * 1s);
+    });
+    cr_assert_eq(visited, 2U);
+}
+
 Test(streamOriginTable, isBoundedAndDropsWhatExpiresFirst)
 {
     StreamOriginTable table(3);
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -203,6 +203,7 @@
     context_.logger.state("stopping",
                           { { "vm", context_.settings.vm }, { "active_requests", shared_.activeRequests.size() } });
     links_.leave();
+    streamOrigins_.handOver();
     relayService_.stop();
     state_.deregister([] {});
     callerServer_.closeBetweenRequests([] {});
--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -23,6 +23,8 @@
 constexpr int baseUrgency = 3;
 /** A caller may measure its time limit from a little later than the request's arrival. */
 constexpr Duration originMargin = 2s;
+/** Time for which an origin is held at most, in timeouts of its route: that of the caller may be any number. */
+constexpr int maxOriginTimeouts = 2;
 constexpr int maxUrgency = 9;
 /** VMs that are asked to send one request; more would hold it for too long. */
 constexpr std::size_t maxRelays = 3;
@@ -373,18 +375,24 @@
     }
 }
 
-/** Records where a stream began, once its first event is sent to the caller. */
+/** Records where a stream began, once its first event, or that of its rest, is sent to the caller. */
 void RequestHandler::recordOrigin()
 {
-    if (origin_) {
+    if (ownStream_ || (origin_ && !facts_.resumedRequest)) {
         return;
     }
-    origin_ = routing::StreamOrigin { service_, attempt_->entry().softwareVersion };
+    if (!origin_) {
+        origin_ = routing::StreamOrigin { service_, attempt_->entry().softwareVersion };
+    }
     const auto workspace = keyHolder_ != nullptr ? std::optional(keyHolder_->workspace) : std::nullopt;
-    ownStream_ = StreamOrigins::keyOf(facts_.id, workspace);
-    const Time expiresAt = request_.receivedAt + facts_.callerTimeout.value_or(route_->timeout) + originMargin;
-    shared_.streamOrigins.onBegun(
-        *ownStream_, *origin_, shared_.streamOrigins.soleOrigin(*route_, false).has_value(), expiresAt);
+    // The next try names the request that brought the first event, too.
+    ownStream_ = StreamOrigins::keyOf(facts_.resumedRequest.value_or(facts_.id), workspace);
+    const Duration callerTime =
+        std::min<Duration>(facts_.callerTimeout.value_or(route_->timeout), maxOriginTimeouts * route_->timeout);
+    shared_.streamOrigins.onBegun(*ownStream_,
+                                  *origin_,
+                                  shared_.streamOrigins.soleOrigin(*route_, false).has_value(),
+                                  request_.receivedAt + callerTime + originMargin);
 }
 
 void RequestHandler::forwardBytes(std::string_view bytes)
--- a/tools/gateway/src/stream_origins.cpp
+++ b/tools/gateway/src/stream_origins.cpp
@@ -29,37 +29,48 @@
 constexpr std::size_t maxHeldOrigins = 20'000;
 /** Streams begun at one VM: some 13 a second at that size. */
 constexpr std::size_t maxOwnStreams = 5'000;
+/** Minimum interval between looks for VMs that have to be told anew: in a large fleet some VM restarts all the time. */
+constexpr Duration renewalInterval = 500ms;
+/** Origins that a VM that stops hands over at once, each @ref flushDelay. */
+constexpr std::size_t maxHandedOverAtOnce = 256;
 
 } // namespace
 
-std::vector<VmId> originHolders(StreamKey stream,
-                                std::span<const OriginHolder> candidates,
-                                const AvailabilityZoneId &ownZone,
-                                std::size_t perZone)
+OriginHolders::OriginHolders(std::span<const OriginHolder> candidates)
 {
-    const std::string key = std::to_string(stream.value());
-    std::set<std::string> zoneNames;
-    std::vector<std::string> names;
     for (const auto &candidate : candidates) {
-        zoneNames.insert(candidate.zone.text());
-        names.push_back(candidate.vm.text());
+        vms_.push_back(candidate.vm.text());
+        vmsByZone_[candidate.zone.text()].push_back(candidate.vm.text());
+    }
+    for (const auto &[zone, vms] : vmsByZone_) {
+        zones_.push_back(zone);
     }
-    const std::vector<std::string> zones(zoneNames.begin(), zoneNames.end());
+}
+
+std::vector<VmId> OriginHolders::choose(StreamKey stream, const AvailabilityZoneId &ownZone, std::size_t perZone) const
+{
+    const std::string key = std::to_string(stream.value());
     std::set<std::string> chosenZones { ownZone.text() };
-    for (const auto index : rendezvous(key, zones, maxHolderZones)) {
-        chosenZones.insert(zones[index]);
+    for (const auto index : rendezvous(key, zones_, maxHolderZones)) {
+        chosenZones.insert(zones_[index]);
     }
-    std::map<AvailabilityZoneId, std::size_t> counts;
     std::vector<VmId> chosen;
-    std::vector<VmId> others;
-    for (const auto index : rendezvous(key, names, names.size())) {
-        const auto &candidate = candidates[index];
-        const bool isChosen = chosenZones.contains(candidate.zone.text()) && ++counts[candidate.zone] <= perZone;
-        (isChosen ? chosen : others).push_back(candidate.vm);
+    for (const auto &zone : chosenZones) {
+        if (const auto vms = vmsByZone_.find(zone); vms != vmsByZone_.end()) {
+            for (const auto index : rendezvous(key, vms->second, perZone)) {
+                chosen.emplace_back(vms->second[index]);
+            }
+        }
+    }
+    const std::size_t wanted = std::min(minHolders * perZone, vms_.size());
+    if (chosen.size() >= wanted) {
+        return chosen;
     }
-    const std::size_t wanted = minHolders * perZone;
-    for (std::size_t index = 0; index < others.size() && chosen.size() < wanted; ++index) {
-        chosen.push_back(others[index]);
+    for (const auto index : rendezvous(key, vms_, vms_.size())) {
+        const VmId vm(vms_[index]);
+        if (chosen.size() < wanted && std::find(chosen.begin(), chosen.end(), vm) == chosen.end()) {
+            chosen.push_back(vm);
+        }
     }
     return chosen;
 }
@@ -70,6 +81,8 @@
     , state_(state)
     , table_(maxHeldOrigins)
     , toldCounter_(context.metrics.counter({ "stream_origins_told", "Origins of streams sent to other VMs" }))
+    , renewedCounter_(context.metrics.counter(
+          { "stream_origins_renewed", "Origins sent again, as VMs that had been told have ended or restarted" }))
     , foundCounter_(context.metrics.counter({ "stream_origins_found", "Resumed streams whose origin was known" }))
     , unknownCounter_(context.metrics.counter({ "stream_origins_unknown", "Resumed streams whose origin no VM knew" }))
 {
@@ -81,13 +94,13 @@
     return StreamKey(hashBytes(request.text(), workspace ? hashBytes(workspace->text()) : 0));
 }
 
-std::vector<VmId> StreamOrigins::holders(StreamKey stream, std::size_t perZone) const
+OriginHolders StreamOrigins::makeHolders() const
 {
     std::vector<OriginHolder> candidates;
     for (const auto &vm : links_.members(std::nullopt)) {
         candidates.push_back({ vm, links_.zoneOf(vm) });
     }
-    return originHolders(stream, candidates, context_.settings.zone, perZone);
+    return OriginHolders(candidates);
 }
 
 bool StreamOrigins::isSole(const routing::ServiceId &service) const
@@ -110,15 +123,18 @@
 
 void StreamOrigins::onBegun(StreamKey stream, const StreamOrigin &origin, bool isRouteSole, Time expiresAt)
 {
-    if (!origin.version || own_.size() >= maxOwnStreams) {
+    if (!origin.version || (own_.size() >= maxOwnStreams && !own_.contains(stream))) {
         return;
     }
     const auto [own, isNew] = own_.try_emplace(stream, OwnStream { origin, expiresAt });
-    if (!isNew) {
+    if (isNew) {
+        ++untold_;
+    } else if (expiresAt <= own->second.expiresAt) {
         return;
     }
-    ++untold_;
-    if (!isRouteSole) {
+    own->second.expiresAt = expiresAt;
+    own->second.holders.clear(); // they know of an earlier end, if any
+    if (!isRouteSole || isStopping_) {
         tell(stream, own->second);
     }
 }
@@ -132,26 +148,49 @@
 
 void StreamOrigins::tell(StreamKey stream, OwnStream &own)
 {
-    own.isTold = true;
-    --untold_;
+    untold_ -= std::exchange(own.isTold, true) ? 0 : 1;
     toldCounter_.add();
-    const Duration timeToLive = std::max<Duration>(own.expiresAt - context_.now(), Duration::zero());
-    for (const auto &vm : holders(stream, 1)) {
+    tellHolders(makeHolders(), stream, own);
+}
+
+/** Identifies a VM from its start to its end: one that has restarted knows nothing of what it was told before. */
+std::uint64_t StreamOrigins::runOf(const VmId &vm) const
+{
+    const auto *peerVm = links_.find(vm);
+    return hashBytes(vm.text(), peerVm != nullptr ? peerVm->heartbeat.incarnation : 0);
+}
+
+/** Tells a stream to its holders, except those that know it. @return whether there are any others */
+bool StreamOrigins::tellHolders(const OriginHolders &holders, StreamKey stream, OwnStream &own)
+{
+    bool isSent = false;
+    std::vector<std::uint64_t> runs;
+    for (const auto &vm : holders.choose(stream, context_.settings.zone, 1)) {
+        runs.push_back(runOf(vm));
         if (vm == context_.settings.vm) {
             table_.insert(stream, own.origin, own.expiresAt);
-            continue;
+        } else if (std::find(own.holders.begin(), own.holders.end(), runs.back()) == own.holders.end()) {
+            queue(vm, stream, own.origin, own.expiresAt);
+            isSent = true;
         }
-        auto &groups = outgoing_[vm].groups;
-        auto group = std::find_if(groups.begin(), groups.end(), [&](const auto &existing) {
-            return existing.service == own.origin.service && existing.version == own.origin.version;
-        });
-        if (group == groups.end()) {
-            group = groups.insert(groups.end(), { own.origin.service, *own.origin.version, {}, {} });
-        }
-        group->streams.push_back(stream);
-        group->timesToLiveMs.push_back(static_cast<std::uint32_t>(toMilliseconds(timeToLive)));
     }
-    if (!outgoing_.empty() && !std::exchange(isFlushScheduled_, true)) {
+    own.holders = std::move(runs);
+    return isSent;
+}
+
+void StreamOrigins::queue(const VmId &vm, StreamKey stream, const StreamOrigin &origin, Time expiresAt)
+{
+    const Duration timeToLive = std::max<Duration>(expiresAt - context_.now(), Duration::zero());
+    auto &groups = outgoing_[vm].groups;
+    auto group = std::find_if(groups.begin(), groups.end(), [&](const auto &existing) {
+        return existing.service == origin.service && existing.version == origin.version;
+    });
+    if (group == groups.end()) {
+        group = groups.insert(groups.end(), { origin.service, *origin.version, {}, {} });
+    }
+    group->streams.push_back(stream);
+    group->timesToLiveMs.push_back(static_cast<std::uint32_t>(toMilliseconds(timeToLive)));
+    if (!std::exchange(isFlushScheduled_, true)) {
         context_.loop.timers().once(context_.now() + flushDelay, [this](Time) { flush(); });
     }
 }
@@ -166,9 +205,17 @@
 
 void StreamOrigins::update()
 {
-    if (untold_ == 0) {
-        return;
+    if (untold_ > 0) {
+        tellNewVersions();
+    }
+    if (untold_ < own_.size()) {
+        renewHolders();
     }
+}
+
+/** Tells the streams of services that have got a second version. */
+void StreamOrigins::tellNewVersions()
+{
     std::map<routing::ServiceId, bool> isToldByService;
     for (auto &[stream, own] : own_) {
         const auto [isTold, isFirst] = isToldByService.try_emplace(own.origin.service);
@@ -181,6 +228,58 @@
     }
 }
 
+/** Tells others in place of the VMs that have ended or restarted since they were told. */
+void StreamOrigins::renewHolders()
+{
+    std::uint64_t digest = 0;
+    for (const auto &vm : links_.members(std::nullopt)) {
+        digest ^= runOf(vm);
+    }
+    if (digest == lastRunsDigest_ || context_.now() < nextRenewalAt_) {
+        return;
+    }
+    lastRunsDigest_ = digest;
+    nextRenewalAt_ = context_.now() + renewalInterval;
+    const auto holders = makeHolders();
+    std::size_t renewed = 0;
+    for (auto &[stream, own] : own_) {
+        renewed += own.isTold && tellHolders(holders, stream, own) ? 1 : 0;
+    }
+    if (renewed > 0) {
+        renewedCounter_.add(double(renewed));
+        context_.logger.state("stream origins renewed", { { "streams", renewed } });
+    }
+}
+
+void StreamOrigins::handOver()
+{
+    isStopping_ = true;
+    for (auto &[stream, own] : own_) {
+        tell(stream, own);
+    }
+    table_.forEach(context_.now(), [&](StreamKey stream, const StreamOrigin &origin, Time expiresAt) {
+        handedOver_.push_back({ stream, origin, expiresAt });
+    });
+    context_.logger.state("stream origins handed over", { { "own", own_.size() }, { "held", handedOver_.size() } });
+    handOverHeld();
+}
+
+/** Hands over the next of the origins that this VM holds for others; not all at once, as requests are under way. */
+void StreamOrigins::handOverHeld()
+{
+    const auto holders = makeHolders();
+    for (std::size_t count = 0; count < maxHandedOverAtOnce && !handedOver_.empty(); ++count) {
+        const auto &held = handedOver_.back();
+        for (const auto &vm : holders.choose(held.stream, context_.settings.zone, 1)) {
+            queue(vm, held.stream, held.origin, held.expiresAt);
+        }
+        handedOver_.pop_back();
+    }
+    if (!handedOver_.empty()) {
+        context_.loop.timers().once(context_.now() + flushDelay, [this](Time) { handOverHeld(); });
+    }
+}
+
 void StreamOrigins::expire(Time now)
 {
     table_.expire(now);
@@ -233,7 +332,7 @@
 {
     Lookup &lookup = lookups_[stream];
     ++lookup.rounds;
-    std::vector<VmId> vms = holders(stream, 2);
+    std::vector<VmId> vms = makeHolders().choose(stream, context_.settings.zone, 2);
     std::erase(vms, context_.settings.vm);
     lookup.pending = vms.size();
     if (vms.empty()) {
--- a/tools/gateway/tests/software_version_test.cpp
+++ b/tools/gateway/tests/software_version_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -45,7 +46,8 @@
             [&] {
                 id = "begin-" + std::to_string(++requests);
                 const auto before = engine.executionCount();
-                const auto response = harness.sendAndWait(vm, "POST", resumableTarget, headers(id), "b");
+                const auto sent = requestHeaders({ .id = id, .apiKey = key, .callerTimeout = callerTimeout });
+                const auto response = harness.sendAndWait(vm, "POST", resumableTarget, sent, "b");
                 return engine.executionCount() > before && !response.isComplete;
             },
             "a stream that breaks off");
@@ -55,15 +57,18 @@
         return id;
     }
 
-    /** Resumes a stream after its second event, as its caller does. */
-    Response resume(std::size_t vm, const std::string &resumed, const std::string &apiKey = key)
+    /** Resumes a stream after its second event, as its caller does, or after a later one. */
+    Response resume(std::size_t vm,
+                    const std::string &resumed,
+                    const std::string &apiKey = key,
+                    const std::string &lastEventId = "2")
     {
         const auto id = "again-" + std::to_string(++requests);
         return harness.sendAndWait(
             vm,
             "POST",
             resumableTarget,
-            requestHeaders({ .id = id, .apiKey = apiKey, .resumedRequest = resumed, .lastEventId = "2" }),
+            requestHeaders({ .id = id, .apiKey = apiKey, .resumedRequest = resumed, .lastEventId = lastEventId }),
             "b");
     }
 
@@ -85,6 +90,7 @@
     Harness harness;
     std::size_t vmCount;
     std::vector<Endpoint *> engines;
+    std::chrono::milliseconds callerTimeout { 15'000 }; ///< of the streams that begin
     int requests = 0;
 };
 
@@ -419,3 +425,179 @@
     }
     cr_expect_eq(Fleet::resumptions(*f.engines.back()) > 0, test->isResumed, "%s", test->name);
 }
+
+namespace
+{
+
+enum class Step : std::uint8_t {
+    Stop, ///< a VM is stopped with SIGTERM
+    Kill,
+    Start, ///< a VM that has ended is started again, and the others hear it
+    Release, ///< an engine of a second version comes
+    BreakOff, ///< the streams go on at a VM, and break off once more
+};
+struct FleetStep {
+    Step step = Step::Stop;
+    std::size_t vm = 0;
+};
+
+struct FleetEventsCase {
+    char name[60];
+    std::size_t vms;
+    bool hasTwoVersions; ///< when the streams begin, at VM 0
+    std::size_t next; ///< VM at which the callers' next tries arrive, after the steps
+    FleetStep steps[8];
+    std::size_t stepCount;
+};
+
+constexpr Step stop = Step::Stop;
+constexpr Step killNow = Step::Kill;
+constexpr Step startAgain = Step::Start;
+
+FleetEventsCase fleetEventsCases[] = {
+    { "all stopped in turn, its own last",
+      3,
+      true,
+      1,
+      { { stop, 1 }, { startAgain, 1 }, { stop, 2 }, { startAgain, 2 }, { stop, 0 } },
+      5 },
+    { "all stopped in turn, its own first",
+      3,
+      true,
+      1,
+      { { stop, 0 }, { startAgain, 0 }, { stop, 1 }, { startAgain, 1 }, { stop, 2 }, { startAgain, 2 } },
+      6 },
+    { "all killed in turn, its own last",
+      3,
+      true,
+      2,
+      { { killNow, 1 }, { startAgain, 1 }, { killNow, 2 }, { startAgain, 2 }, { killNow, 0 } },
+      5 },
+    { "all others killed at once, then its own",
+      3,
+      true,
+      1,
+      { { killNow, 1 }, { killNow, 2 }, { startAgain, 1 }, { startAgain, 2 }, { killNow, 0 } },
+      5 },
+    { "all others stopped at once, then its own killed",
+      4,
+      true,
+      3,
+      { { stop, 1 },
+        { stop, 2 },
+        { stop, 3 },
+        { startAgain, 1 },
+        { startAgain, 2 },
+        { startAgain, 3 },
+        { killNow, 0 } },
+      7 },
+    { "its own killed, the others stopped in turn",
+      3,
+      true,
+      1,
+      { { killNow, 0 }, { stop, 1 }, { startAgain, 1 }, { stop, 2 }, { startAgain, 2 } },
+      5 },
+    { "broken off twice, all others killed in between",
+      3,
+      true,
+      0,
+      { { killNow, 0 }, { Step::BreakOff, 1 }, { startAgain, 0 }, { killNow, 2 }, { startAgain, 2 }, { killNow, 1 } },
+      6 },
+    { "a second version after its own was stopped", 3, false, 1, { { stop, 0 }, { Step::Release, 0 } }, 2 },
+};
+
+} // namespace
+
+ParameterizedTestParameters(softwareVersion, streamsOutliveTheVmsThatKnowThem)
+{
+    return cr_make_param_array(FleetEventsCase, fleetEventsCases, std::size(fleetEventsCases));
+}
+
+/** After restarts in turn, no VM knew where a stream had begun, and its caller was refused (review/8, LOST). */
+ParameterizedTest(FleetEventsCase *test, softwareVersion, streamsOutliveTheVmsThatKnowThem)
+{
+    constexpr std::size_t streams = 8;
+    constexpr auto routeTimeout = 60s;
+    constexpr Duration settleTime = 1s;
+    Fleet f(test->vms,
+            test->hasTwoVersions ? std::vector<std::string> { "v1", "v2" } : std::vector<std::string> { "v1" });
+    auto routes = allRoutes();
+    for (auto &route : routes) {
+        route.timeout = routeTimeout;
+    }
+    f.harness.store().publishDesiredState(makeState(2, routes));
+    for (std::size_t vm = 0; vm < test->vms; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"desired state in force\"", 2);
+    }
+    f.callerTimeout = routeTimeout;
+    std::vector<std::string> begun;
+    for (std::size_t stream = 0; stream < streams; ++stream) {
+        begun.push_back(f.beginStream(0, *f.engines[0]));
+    }
+    std::string lastEventId = "2";
+    std::set<std::size_t> ended;
+    for (std::size_t index = 0; index < test->stepCount; ++index) {
+        const auto [step, vm] = test->steps[index];
+        switch (step) {
+        case Step::Stop:
+        case Step::Kill:
+            f.harness.signal(vm, step == Step::Stop ? SIGTERM : SIGKILL);
+            ended.insert(vm);
+            if (const bool isNextToo = index + 1 < test->stepCount && test->steps[index + 1].step == step; !isNextToo) {
+                for (const auto each : ended) {
+                    f.harness.waitFor([&] { return f.harness.hasEnded(each); }, "the end of a vm");
+                }
+            }
+            break;
+        case Step::Start:
+            f.harness.start(vm, 1);
+            ended.erase(vm);
+            f.harness.waitForLogLines({ vm }, "\"vm live\"", test->vms - 1 - ended.size());
+            f.harness.runFor(settleTime);
+            break;
+        case Step::Release:
+            f.engines.push_back(&f.harness.addEndpoint("g2", "engine", Behaviour::Stream, "v2"));
+            f.harness.waitForLogLines({ test->next }, "\"endpoint joined\"", f.engines.size());
+            break;
+        case Step::BreakOff:
+            f.engines[0]->setBehaviour(Behaviour::TruncateStream);
+            for (const auto &id : begun) {
+                const auto response = f.resume(vm, id, key, lastEventId);
+                cr_assert_not(response.isComplete, "%s: status %d", test->name, response.status);
+            }
+            f.engines[0]->setBehaviour(Behaviour::Stream);
+            cr_assert_eq(Fleet::resumptions(*f.engines[0]), streams, "%s", test->name);
+            lastEventId = "4";
+            break;
+        }
+    }
+    std::size_t resumed = 0;
+    for (const auto &id : begun) {
+        resumed += Fleet::hasGoneOn(f.resume(test->next, id, key, lastEventId)) ? 1 : 0;
+    }
+    cr_expect_eq(resumed, streams, "%s: %zu of %zu streams went on", test->name, resumed, streams);
+    cr_expect_eq(Fleet::resumptions(*f.engines[1]), 0U, "%s: streams went on at another version", test->name);
+}
+
+/** The table of origins drops what expires first, so callers that name days displaced the streams of all others. */
+Test(softwareVersion, originIsNotHeldForAnyTimeThatACallerNames)
+{
+    constexpr auto routeTimeout = 500ms;
+    constexpr Duration longestTime = 2 * routeTimeout + 2s;
+    Fleet f(3, { "v1", "v2" });
+    auto routes = allRoutes();
+    for (auto &route : routes) {
+        route.timeout = routeTimeout;
+    }
+    f.harness.store().publishDesiredState(makeState(2, routes));
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"desired state in force\"", 2);
+    }
+    f.callerTimeout = std::chrono::hours(24);
+    const auto begun = f.beginStream(0, *f.engines[0]);
+    cr_expect(Fleet::hasGoneOn(f.resume(1, begun)));
+    f.harness.runFor(longestTime + 500ms);
+    for (std::size_t vm = 0; vm < f.vmCount; ++vm) {
+        cr_expect_eq(f.resume(vm, begun).status, net::status::unavailable, "vm %zu", vm);
+    }
+}
--- a/tools/gateway/tests/stream_origins_test.cpp
+++ b/tools/gateway/tests/stream_origins_test.cpp
@@ -38,6 +38,14 @@
     return vms;
 }
 
+std::vector<VmId> originHolders(routing::StreamKey stream,
+                                std::span<const OriginHolder> candidates,
+                                const AvailabilityZoneId &ownZone,
+                                std::size_t perZone)
+{
+    return OriginHolders(candidates).choose(stream, ownZone, perZone);
+}
+
 } // namespace
 
 ParameterizedTestParameters(originHolders, areInSeveralZonesAndFew)
