--- a/tools/gateway/src/request_attempts.cpp
+++ b/tools/gateway/src/request_attempts.cpp
@@ -102,7 +102,7 @@
     }
     const std::size_t maxConnections = service != nullptr ? service->maxConnections : 0;
     const auto *entry = placement_->choose(triedEndpoints_, maxConnections, reservedEndpoint_, origin_, results);
-    if (entry == nullptr && awaitCheck([](RequestHandler &self) { self.selectAndSend(); })) {
+    if (entry == nullptr && awaitCheck([](RequestHandler &self) { self.confirmEndpoints(); })) {
         return;
     }
     if (entry == nullptr) {
@@ -127,6 +127,7 @@
         const bool isChecked = shared_.poisonRequests.awaitCheck(lifetime, [weak = weak_from_this(), onChecked] {
             const auto self = weak.lock();
             if (self && self->phase_ == Phase::ConfirmingEndpoints) {
+                self->areEndpointsConfirmed_ = false; // it may have restarted meanwhile
                 onChecked(*self);
             }
         });
@@ -386,7 +387,8 @@
     }
     const auto workspace = keyHolder_ != nullptr ? std::optional(keyHolder_->workspace) : std::nullopt;
     // The next try names the request that brought the first event, too.
-    ownStream_ = StreamOrigins::keyOf(facts_.resumedRequest.value_or(facts_.id), workspace);
+    const auto &begunBy = isResumption() && facts_.resumedRequest ? *facts_.resumedRequest : facts_.id;
+    ownStream_ = StreamOrigins::keyOf(begunBy, workspace);
     const Duration callerTime =
         std::min<Duration>(facts_.callerTimeout.value_or(route_->timeout), maxOriginTimeouts * route_->timeout);
     shared_.streamOrigins.onBegun(*ownStream_,
