--- a/tools/gateway/src/request_handler.h
+++ b/tools/gateway/src/request_handler.h
@@ -156,7 +156,7 @@
     bool isCheckAwaited_ = false; ///< the next attempt has waited for the check of an endpoint in doubt
     /** Where the stream began; empty until an event of it is forwarded, unless the request resumes a stream. */
     std::optional<routing::StreamOrigin> origin_;
-    std::optional<routing::StreamKey> ownStream_; ///< set if the stream began with this request
+    std::optional<routing::StreamKey> ownStream_; ///< set if the stream began, or went on, with this request
     bool isHeadForwarded_ = false;
     bool isContinuation_ = false; ///< whether the latest attempt has to go on with a response that has begun
     net::HttpHead forwardedHead_;
