--- a/review/standin-3/src/platform.cpp
+++ b/review/standin-3/src/platform.cpp
@@ -1,11 +1,11 @@
 #include "standins.h"
-
-#include <platform_standin/platform_standin.h>
+#include "store.h"
 
 #include <nlohmann/json.hpp>
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lacewing::review
@@ -142,6 +142,15 @@
         return runs_;
     }
 
+    /** Called when the store has accepted that the runner leaves. It goes on serving, and then exits. */
+    void leave(Duration drainTime, Duration time, const std::string &lateFile)
+    {
+        lateAt_ = loop_.clock().now() + drainTime;
+        leftAt_ = loop_.clock().now();
+        lateFile_ = lateFile;
+        after(time, [this] { server_.closeAll(); });
+    }
+
     std::size_t pieces() const noexcept
     {
         return pieces_;
@@ -166,7 +175,14 @@
     {
         if (request->header("Expect-Runner").value_or("") != id_) {
             writer.respond(421, { { "Runner-Id", id_ } }, {});
-        } else if (request->path() == "/v1/stage-free") {
+            return;
+        }
+        if (lateAt_ && loop_.clock().now() > *lateAt_) {
+            std::ofstream(lateFile_, std::ios::app)
+                << request->remoteAddress << ' ' << request->header("Attempt-Id").value_or("") << ' '
+                << toMilliseconds(loop_.clock().now() - *leftAt_) << '\n';
+        }
+        if (request->path() == "/v1/stage-free") {
             writer.respond(net::status::ok, { { "Runner-Load", "0,0,1" } }, {});
         } else if (request->path() == "/v1/stage-run") {
             takeCall(request, std::move(writer));
@@ -261,6 +277,9 @@
     std::size_t runs_ = 0;
     std::size_t pieces_ = 0;
     std::uint64_t lastResult_ = 0;
+    std::optional<Time> leftAt_;
+    std::optional<Time> lateAt_; ///< from when on nothing may reach the runner
+    std::string lateFile_;
 };
 
 } // namespace
@@ -271,7 +290,7 @@
     const std::string ip = options.text("ip");
     Record record(options.text("record"));
     net::EventLoop loop;
-    platform_standin::Store store(loop, ip);
+    Store store(loop, ip);
     if (!store.start()) {
         return 2;
     }
@@ -287,10 +306,13 @@
     for (const auto &kind : stageKinds) {
         add(kind.name, stageRunners, &kind);
     }
-    store.publishRawDesiredState(desiredState());
+    store.write("keyed.op", "config", desiredState());
+    std::string leaving;
     const auto report = [&] {
         for (const auto &runner : runners) {
-            store.registerRawEndpoint(runner->id(), runner->registration());
+            if (runner->id() != leaving) {
+                store.write("keyed.servers", runner->id(), runner->registration());
+            }
         }
     };
     report();
@@ -305,6 +327,24 @@
         }
         record.write("runners: " + std::to_string(runs) + " requests and " + std::to_string(pieces) + " pieces run");
     });
+    // A runner that never reports that it drains: its entry is removed, and it goes on for drain-ms and a little
+    // longer.
+    constexpr Duration pollPeriod = std::chrono::milliseconds(10);
+    constexpr Duration drainTime = std::chrono::milliseconds(2000);
+    loop.timers().every(loop.clock().now() + pollPeriod, pollPeriod, [&](Time) {
+        std::ifstream file(options.text("leave-file"));
+        if (!leaving.empty() || !(file >> leaving)) {
+            return;
+        }
+        for (const auto &runner : runners) {
+            if (runner->id() == leaving) {
+                store.write("keyed.servers", leaving, {});
+                runner->leave(drainTime, fromSeconds(options.number("leave-seconds", 6)), options.text("late-file"));
+                record.write("the store has accepted that " + leaving + " is gone; it serves on for "
+                             + options.text("leave-seconds", "6") + " s");
+            }
+        }
+    });
     std::ofstream(options.text("address-file")) << store.address() << '\n';
     loop.run();
     return 0;
