--- a/review/standin-3/common.sh
+++ b/review/standin-3/common.sh
@@ -32,10 +32,10 @@
 
 [ -x "$standins" ] && [ -x "$gateway" ] || cannot_run "not built"
 
-# Starts the store and the runners.
+# Starts the store and the runners: start_platform OPTION...
 start_platform() {
     "$standins" platform ip="$network.1" address-file="$work/store" record="$record" leave-file="$work/leave" \
-        late-file="$work/late" &
+        late-file="$work/late" "$@" &
     pids+=($!)
     local try
     for try in $(seq 100); do
--- a/review/standin-3/src/platform.cpp
+++ b/review/standin-3/src/platform.cpp
@@ -23,7 +23,6 @@
 constexpr Duration engineWork = std::chrono::milliseconds(60);
 constexpr Duration reportPeriod = std::chrono::milliseconds(1200);
 constexpr std::size_t plainSlots = 6;
-constexpr int events = 3;
 
 /** A service of stages. */
 struct StageKind {
@@ -100,18 +99,20 @@
 class Runner
 {
 public:
-    Runner(net::EventLoop &loop, const std::string &ip, std::string id, std::string service, const StageKind *stage)
+    Runner(net::EventLoop &loop, const Options &options, std::string id, std::string service, const StageKind *stage)
         : loop_(loop)
         , id_(std::move(id))
         , service_(std::move(service))
         , stage_(stage)
+        , events_(int(options.number("events", 3)))
+        , eventGap_(fromSeconds(options.number("event-gap-ms", 0) / 1000))
         , server_(loop,
                   net::HttpServerOptions().maxHeaderBytes(std::size_t(1) << 20U),
                   [this](net::HttpRequest request, net::ResponseWriter writer) {
                       handle(std::make_shared<net::HttpRequest>(std::move(request)), std::move(writer));
                   })
     {
-        static_cast<void>(server_.listen({ ip, 0 }));
+        static_cast<void>(server_.listen({ options.text("ip"), 0 }));
     }
 
     const std::string &id() const noexcept
@@ -259,17 +260,28 @@
             auto headers = headersFor(*request);
             headers.push_back({ "Content-Type", "text/event-stream" });
             writer.begin(net::status::ok, headers);
-            for (int event = 1; event <= events; ++event) {
-                writer.write(net::sseEvent(std::to_string(event), std::string(55, 'd')));
-            }
-            writer.end();
+            writeEvent(writer, 1);
         });
     }
 
+    void writeEvent(net::ResponseWriter writer, int event)
+    {
+        writer.write(net::sseEvent(std::to_string(event), std::string(55, 'd')));
+        if (event >= events_) {
+            writer.end();
+        } else if (eventGap_ == Duration::zero()) {
+            writeEvent(std::move(writer), event + 1);
+        } else {
+            after(eventGap_, [this, writer, event] { writeEvent(writer, event + 1); });
+        }
+    }
+
     net::EventLoop &loop_;
     std::string id_;
     std::string service_;
     const StageKind *stage_;
+    int events_; ///< of a stream
+    Duration eventGap_;
     net::HttpServer server_;
     std::deque<std::pair<RequestPtr, net::ResponseWriter>> waiting_;
     std::size_t running_ = 0;
@@ -298,7 +310,7 @@
     const auto add = [&](const std::string &service, int count, const StageKind *stage) {
         for (int index = 0; index < count; ++index) {
             runners.push_back(
-                std::make_unique<Runner>(loop, ip, "i-" + service + "-" + std::to_string(index), service, stage));
+                std::make_unique<Runner>(loop, options, "i-" + service + "-" + std::to_string(index), service, stage));
         }
     };
     add("huvo11a", 12, nullptr);
