--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,37 +1,52 @@
 #!/usr/bin/env bash
-# A VM keeps every part of every prompt for six seconds and more, whatever it may hold for callers.
-# One VM as on the sheet of the Tana River Cabin Utilities Board. A caller names many parts in each request; the heads
-# are within the limit of the desired state. TROUBLE=0: its requests have three parts each.
+# A VM keeps a runner that is gone, once the VMs that read the store for it have been killed and are back.
+# Seven VMs as on the sheet of the Tana River Cabin Utilities Board. The three that read the store are killed at the same
+# moment and started again; meanwhile a runner leaves. TROUBLE=0: the runner leaves, and nothing is killed.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 case=review/12
 source review/standin-3/common.sh
 
-seconds=30 per_second=400
-prompt_bytes=15900
-[ "${TROUBLE:-1}" = 0 ] && prompt_bytes=48
-limit=260
-
-start_platform
-start_vm 0
-wait_ready 0
-sleep 1
-say "memory-mb of the vm: $limit; the caller sends $per_second requests a second with $prompt_bytes bytes of Prompt-Prefix"
-callers 0 ordinary per-second=5 seconds=$((seconds + 4)) target=/topup-pay/2f method=POST
-ordinary=$last_callers
-callers 0 many-parts per-second=$per_second seconds=$seconds at-once=64 prompt-bytes=$prompt_bytes
-for step in $(seq $((seconds / 2))); do
-    sleep 2
-    say "after $((step * 2)) s: $(now_mb 0) MB, processor time $(processor_time 0) hundredths of a second"
+start_platform events=40 event-gap-ms=50 # streams of two seconds
+for vm in 0 1 2 3 4 5 6; do start_vm "$vm"; done
+for vm in 0 1 2 3 4 5 6; do wait_ready "$vm"; done
+sleep 4
+# Each VM logs when it begins or ends to read the store.
+readers=() other=""
+for vm in 0 1 2 3 4 5 6; do
+    if grep '"store reading changed"' "$work/vm-$vm.log" | tail -1 | grep -q '"active":true'; then
+        readers+=("$vm")
+    else
+        other=$vm
+    fi
 done
-wait "$ordinary" "$last_callers"
-say "peak: $(peak_mb 0) MB"
-if ! kill -0 "${vm_pids[0]}" 2>/dev/null; then
-    say "broken: the process has ended"
-    exit 1
+say "vms that read the store: ${readers[*]}; the callers are at vm $other, to which nothing happens"
+[ ${#readers[@]} = 3 ] && [ -n "$other" ] || cannot_run "not three readers"
+
+callers "$other" callers per-second=20 seconds=14 method=POST target=/bill-query/2f tokens=1800,40 deadline-ms=6000 \
+    at-once=200
+callers=$last_callers
+sleep 3
+if [ "${TROUBLE:-1}" != 0 ]; then
+    for vm in "${readers[@]}"; do kill -KILL "${vm_pids[$vm]}"; done
+    say "the readers are killed"
+    sleep 0.2
+fi
+echo i-huvo11a-0 >"$work/leave"
+sleep 0.2
+if [ "${TROUBLE:-1}" != 0 ]; then
+    for vm in "${readers[@]}"; do start_vm "$vm"; done
+    say "the readers are started again"
 fi
-if [ "$(peak_mb 0)" -gt $limit ]; then
-    say "broken: the vm took $(peak_mb 0) MB, more than its $limit MB"
+wait "$callers"
+read -r sent served <"$work/callers.result" || cannot_run "the callers have ended"
+say "streams: $sent sent, $((sent - served)) not answered in full"
+late=0
+[ -s "$work/late" ] && late=$(grep -c " callers-" "$work/late")
+say "requests that reached the runner later than 2 s after the store had accepted that it is gone: $late"
+if [ "$late" -gt 0 ]; then
+    say "the first: $(head -1 "$work/late"), the last: $(tail -1 "$work/late") (connection, request, ms after that)"
+    say "broken"
     exit 1
 fi
 say "held"
