--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S review/standin-3 -B target/review-3 -G Ninja -DCMAKE_BUILD_TYPE=Release
-cmake --build target/review-3 --target standins-3
+cmake --build target/review-3 --target standins-3 versions-3
