--- a/tools/gateway/src/fleet_state_records.cpp
+++ b/tools/gateway/src/fleet_state_records.cpp
@@ -18,6 +18,12 @@
 /** Records of a whole topic that another VM may send. */
 constexpr std::size_t maxRecordsBytes = std::size_t(16) << 20U;
 
+std::size_t countRemovals(const RecordsResponse &response)
+{
+    return static_cast<std::size_t>(std::count_if(
+        response.records.begin(), response.records.end(), [](const auto &record) { return record.isRemoval; }));
+}
+
 std::vector<StoreRecord> toStoreRecords(const RecordsResponse &response)
 {
     std::vector<StoreRecord> records;
@@ -118,7 +124,7 @@
     replica.lastPeerRequestAt = now;
     replica.isRequestedFromPeer = true;
     BulkHandlers handlers;
-    handlers.onReceived = [this, topic, vm, now](const std::string &bytes) {
+    handlers.onReceived = [this, topic, vm, start, now](const std::string &bytes) {
         replicas_[topic].isRequestedFromPeer = false;
         const auto response = wire::decode<RecordsResponse>(bytes);
         if (!response) {
@@ -128,7 +134,10 @@
         context_.logger.state("records received from vm",
                               { { "topic", topicName(topic) },
                                 { "vm", vm },
+                                { "start", start.offset() },
+                                { "end", LogPosition::fromPacked(response.value().endOffset).offset() },
                                 { "records", response.value().records.size() },
+                                { "removals", countRemovals(response.value()) },
                                 { "bytes", bytes.size() },
                                 { "ms", toMilliseconds(context_.now() - now) } });
         endpointsLoaded_ = endpointsLoaded_ || topic == Topic::Endpoints;
