--- a/tools/gateway/src/fleet_state.cpp
+++ b/tools/gateway/src/fleet_state.cpp
@@ -93,12 +93,12 @@
                        FleetLinks &links,
                        std::uint64_t seed,
                        std::function<void()> onChanged,
-                       std::function<void(std::string_view name, const std::string &bytes)> onQuarantineRead)
+                       QuarantineHandlers quarantineHandlers)
     : context_(context)
     , links_(links)
     , random_(seed)
     , onChanged_(std::move(onChanged))
-    , onQuarantineRead_(std::move(onQuarantineRead))
+    , quarantineHandlers_(std::move(quarantineHandlers))
     , store_(context.loop, context.settings.storeAddress)
     , stateExchange_(
           context,
@@ -217,10 +217,7 @@
         applyEndpoints(update);
         break;
     case Topic::Vms:
-        if (isRollback) {
-            rewriteLostRecords(recordsOf(update));
-        }
-        applyVms(update);
+        applyVms(update, isRollback);
         break;
     }
     notifyChanged();
@@ -242,9 +239,10 @@
     }
 }
 
-void FleetState::applyVms(const TopicUpdate &update)
+void FleetState::applyVms(const TopicUpdate &update, bool isRollback)
 {
     if (std::holds_alternative<TopicSnapshot>(update)) {
+        storedVersions_.clear();
         for (const auto &record : recordsOf(update)) {
             if (record.key.starts_with(softwareVersionsKeyPrefix) && record.value) {
                 applySoftwareVersions(std::string_view(record.key).substr(softwareVersionsKeyPrefix.size()),
@@ -255,7 +253,13 @@
         isVmsReadDue_ = false;
     }
     for (const auto &record : vmRecords_.apply(update)) {
-        applyVm(record);
+        // What the copy tells of quarantines is older than what is known here.
+        if (!isRollback || !record.key.starts_with(quarantineKeyPrefix)) {
+            applyVm(record);
+        }
+    }
+    if (isRollback) {
+        restoreRecords(recordsOf(update));
     }
 }
 
@@ -279,32 +283,29 @@
     }
 }
 
-/** Writes this VM's address again if the store has lost it, and what all VMs share if this VM is responsible for it. */
-void FleetState::rewriteLostRecords(const std::vector<StoreRecord> &remaining)
+/**
+ * Writes this VM's address again if the store has lost it, and has those restore the quarantines that know which are in
+ * force. Software versions are written again as they differ from those stored.
+ */
+void FleetState::restoreRecords(const std::vector<StoreRecord> &stored)
 {
-    const bool writesShared = links_.isResponsible("quarantines", 1);
-    const auto isLost = [&](std::string_view key) {
-        return std::none_of(remaining.begin(), remaining.end(), [&](const auto &record) { return record.key == key; });
-    };
-    std::vector<std::pair<std::string, std::string>> lost; // key, value
-    if (const std::string &own = context_.settings.vm.text(); isLost(own) && !isDeregistered_) {
-        lost.emplace_back(own, ownAddressValue());
-    }
-    for (const auto &[key, record] : vmRecords_.records()) {
-        const bool isShared = key.starts_with(quarantineKeyPrefix) || key.starts_with(softwareVersionsKeyPrefix);
-        if (writesShared && isShared && record.value && isLost(key)) {
-            lost.emplace_back(key, *record.value);
+    std::set<std::string> quarantines;
+    bool hasOwnAddress = false;
+    for (const auto &record : stored) {
+        hasOwnAddress = hasOwnAddress || record.key == context_.settings.vm.text();
+        if (record.key.starts_with(quarantineKeyPrefix) && record.value) {
+            quarantines.insert(record.key.substr(quarantineKeyPrefix.size()));
         }
     }
-    if (lost.empty()) {
+    quarantineHandlers_.onRolledBack(quarantines);
+    if (hasOwnAddress || isDeregistered_) {
         return;
     }
     const auto delay = std::chrono::duration_cast<Duration>(maxRewriteDelay * random_.unit());
-    context_.logger.state("lost records written again",
-                          { { "records", lost.size() }, { "delay_ms", toMilliseconds(delay) } });
-    context_.loop.timers().once(context_.now() + delay, [this, lost = std::move(lost)](Time) {
-        for (const auto &[key, value] : lost) {
-            store_.put(key, value);
+    context_.logger.state("own address written again", { { "delay_ms", toMilliseconds(delay) } });
+    context_.loop.timers().once(context_.now() + delay, [this](Time) {
+        if (!isDeregistered_) {
+            store_.put(context_.settings.vm.text(), ownAddressValue());
         }
     });
 }
@@ -455,7 +456,7 @@
         context_.logger.warn("malformed quarantine", { { "name", name }, { "error", bytes.error().detail } });
         return;
     }
-    onQuarantineRead_(name, bytes.value());
+    quarantineHandlers_.onRead(name, bytes.value());
 }
 
 void FleetState::storeQuarantine(std::string_view name, const std::string &bytes)
--- a/tools/gateway/src/fleet_state.h
+++ b/tools/gateway/src/fleet_state.h
@@ -18,6 +18,18 @@
 namespace lacewing::gateway
 {
 
+/** Callbacks for quarantines in the store. */
+struct QuarantineHandlers {
+    std::function<void(std::string_view name, const std::string &bytes)> onRead;
+    /**
+     * Called when the store has come back from an older copy. It may lack quarantines that are in force, and have some
+     * that have ended.
+     *
+     * @param stored names of those that it has
+     */
+    std::function<void(const std::set<std::string> &stored)> onRolledBack;
+};
+
 /**
  * This VM's replica of the desired state and the endpoint registrations.
  *
@@ -40,7 +52,7 @@
                FleetLinks &links,
                std::uint64_t seed,
                std::function<void()> onChanged,
-               std::function<void(std::string_view name, const std::string &bytes)> onQuarantineRead);
+               QuarantineHandlers quarantineHandlers);
 
     /** Starts to read the store, and registers this VM's address in it. */
     void start();
@@ -49,7 +61,7 @@
 
     /** Writes a quarantine to the store, where a restart of all VMs does not end it. @param name unique among them */
     void storeQuarantine(std::string_view name, const std::string &bytes);
-    /** Removes a quarantine from the store; not retried on failure. */
+    /** Removes a quarantine from the store. */
     void removeQuarantine(std::string_view name);
 
     const userplatform::StoreCounters &storeCounters() const noexcept
@@ -168,9 +180,9 @@
     const TopicReplica &replica(userplatform::Topic topic) const;
     void applyUpdate(userplatform::Topic topic, const TopicUpdate &update, std::string_view source);
     void applyEndpoints(const TopicUpdate &update);
-    void applyVms(const TopicUpdate &update);
+    void applyVms(const TopicUpdate &update, bool isRollback);
     void handleRollback(userplatform::Topic topic, std::uint64_t era);
-    void rewriteLostRecords(const std::vector<userplatform::StoreRecord> &remaining);
+    void restoreRecords(const std::vector<userplatform::StoreRecord> &stored);
     std::string ownAddressValue() const;
     void applyDesiredStates(const std::vector<userplatform::StoreRecord> &records);
     void completeDesiredState(Time now);
@@ -212,7 +224,7 @@
     FleetLinks &links_;
     Random random_;
     std::function<void()> onChanged_;
-    std::function<void(std::string_view name, const std::string &bytes)> onQuarantineRead_;
+    QuarantineHandlers quarantineHandlers_;
     userplatform::StoreClient store_;
     std::map<userplatform::Topic, TopicState> topics_;
     TopicReplica endpointRecords_;
--- a/tools/gateway/src/gateway.cpp
+++ b/tools/gateway/src/gateway.cpp
@@ -49,12 +49,15 @@
     , random_(seed)
     , signals_(context.loop.ioContext(), SIGTERM, SIGINT, SIGHUP)
     , links_(context, makeFleetHandlers(), random_.next())
-    , state_(
-          context,
-          links_,
-          random_.next(),
-          [this] { handleStateChange(); },
-          [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); })
+    , state_(context,
+             links_,
+             random_.next(),
+             [this] { handleStateChange(); },
+             { [this](std::string_view name, const std::string &bytes) { handleQuarantineRead(name, bytes); },
+               [this](const std::set<std::string> &stored) {
+                   poisonPrompts_.restoreStored(stored);
+                   poisonRequests_.restoreStored(stored);
+               } })
     , notices_(context, links_, state_)
     , connectionLog_(context)
     , client_(context.loop, endpointOptions(context, connectionLog_))
--- a/tools/gateway/src/poison_prompt_guard.cpp
+++ b/tools/gateway/src/poison_prompt_guard.cpp
@@ -180,6 +180,27 @@
     }
 }
 
+void PoisonPromptGuard::restoreStored(const std::set<std::string> &stored)
+{
+    storedParts_.clear();
+    std::set<std::string> inForce;
+    for (const auto &suspect : tracker_.quarantinedParts()) {
+        const std::string name = storeName(suspect.part);
+        inForce.insert(name);
+        if (stored.contains(name)) {
+            storedParts_.insert(suspect.part);
+        } else if (isResponsibleFor(suspect.part)) {
+            store(suspect.part);
+        }
+    }
+    for (const auto &name : stored) {
+        const bool hasEnded = name.starts_with(storePrefix) && !inForce.contains(name);
+        if (hasEnded && links_.isResponsible("quarantine/" + name, 1)) {
+            state_.removeQuarantine(name);
+        }
+    }
+}
+
 std::vector<SuspectPartMessage> PoisonPromptGuard::quarantinedParts() const
 {
     std::vector<SuspectPartMessage> messages;
--- a/tools/gateway/src/poison_prompt_guard.h
+++ b/tools/gateway/src/poison_prompt_guard.h
@@ -61,6 +61,8 @@
     void handleParts(const std::vector<SuspectPartMessage> &parts);
     /** Merges a quarantined part that has been read from the store. */
     void handleStored(const std::string &bytes);
+    /** Brings the store up to date after it has come back from an older copy. @param stored names that it has */
+    void restoreStored(const std::set<std::string> &stored);
     /** Returns the quarantined parts, for VMs that know others. */
     std::vector<SuspectPartMessage> quarantinedParts() const;
     std::uint64_t digest() const noexcept
--- a/tools/gateway/src/poison_request_guard.cpp
+++ b/tools/gateway/src/poison_request_guard.cpp
@@ -1,5 +1,7 @@
 #include "poison_request_guard.h"
 
+#include <charconv>
+
 namespace lacewing::gateway
 {
 namespace
@@ -19,6 +21,14 @@
     return std::to_string(request.value());
 }
 
+/** Returns the request that storeName() names; empty if it is the name of something else. */
+std::optional<Fingerprint> parseStoreName(const std::string &name)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), value);
+    return error == std::errc() && end == name.data() + name.size() ? std::optional(Fingerprint(value)) : std::nullopt;
+}
+
 /** Identifies a piece over all attempts of its request. */
 Fingerprint pieceFingerprint(const stages::PieceTask &piece)
 {
@@ -379,6 +389,21 @@
     }
 }
 
+void PoisonRequestGuard::restoreStored(const std::set<std::string> &stored)
+{
+    storedQuarantines_.clear();
+    for (const auto &name : stored) {
+        if (const auto request = parseStoreName(name)) {
+            storedQuarantines_.insert(*request); // those that have ended are removed when they expire next
+        }
+    }
+    for (const auto &suspect : suspects_.repeatedSuspects(context_.now())) {
+        if (isQuarantined(suspect.request) && isResponsibleFor(suspect.request)) {
+            store(suspect.request);
+        }
+    }
+}
+
 void PoisonRequestGuard::handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat)
 {
     const Time now = context_.now();
--- a/tools/gateway/src/poison_request_guard.h
+++ b/tools/gateway/src/poison_request_guard.h
@@ -82,6 +82,8 @@
     void handleSuspect(const SuspectMessage &message);
     /** Merges a quarantine that has been read from the store. */
     void handleStoredQuarantine(const std::string &bytes);
+    /** Brings the store up to date after it has come back from an older copy. @param stored names that it has */
+    void restoreStored(const std::set<std::string> &stored);
     /** Requests the suspects of another VM if they differ from those known here. */
     void handleHeartbeat(const VmId &vm, const Heartbeat &heartbeat);
     /** Responds to a request of another VM for the suspects known here. */
--- a/tools/gateway/tests/store_rollback_test.cpp
+++ b/tools/gateway/tests/store_rollback_test.cpp
@@ -1,3 +1,4 @@
+#include "peer_messages.h"
 #include "requests.h"
 
 #include <csignal>
@@ -213,6 +214,66 @@
     f.waitForVersion(1, 2);
 }
 
+/** Returns the name and the value of the store's record of a quarantine. */
+std::pair<std::string, std::string> quarantineRecord()
+{
+    gateway::SuspectMessage message;
+    message.fingerprint = 1;
+    message.crashCount = 3;
+    for (std::uint64_t crash = 1; crash <= message.crashCount; ++crash) {
+        message.crashes.push_back({ "e" + std::to_string(crash), crash });
+    }
+    return { "quarantine/1", net::toBase64(wire::encode(message)) };
+}
+
+/** A copy brought back quarantines that had ended: VMs took them up again, and they stayed in the store (issue 66). */
+Test(storeRollback, quarantineThatHasEndedIsRemovedAgain)
+{
+    constexpr std::size_t vms = 5;
+    const auto [name, value] = quarantineRecord();
+    Fixture f(vms);
+    f.harness.store().writeVmRecord(name, value);
+    f.harness.store().saveCopy();
+    f.harness.store().writeVmRecord(name, "");
+    f.harness.start();
+    f.harness.waitForLinks();
+    f.harness.store().rollBack();
+    cr_assert(f.harness.store().hasKey(vmTopic, name));
+    f.harness.waitFor([&, &key = name] { return !f.harness.store().hasKey(vmTopic, key); }, "the removal");
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        cr_assert(f.harness.lastLogLine(vm, "\"quarantine received\"").empty(), "vm %zu", vm);
+    }
+}
+
+struct LostQuarantineCase {
+    std::size_t vms;
+};
+
+LostQuarantineCase lostQuarantineCases[] = { { 1 }, { 4 }, { 5 }, { 6 }, { 7 }, { 8 } };
+
+/** Quarantines were written again by a VM that did not follow the topic and so did not know of them (issue 66). */
+ParameterizedTestParameters(storeRollback, quarantineThatTheCopyLacksIsWrittenAgain)
+{
+    return cr_make_param_array(LostQuarantineCase, lostQuarantineCases, std::size(lostQuarantineCases));
+}
+
+ParameterizedTest(LostQuarantineCase *test, storeRollback, quarantineThatTheCopyLacksIsWrittenAgain)
+{
+    const auto [name, value] = quarantineRecord();
+    Fixture f(test->vms);
+    f.harness.start();
+    f.harness.waitForLinks();
+    f.harness.runFor(2s); // the VMs' addresses are in the store, and known to its readers
+    f.harness.store().saveCopy();
+    f.harness.store().writeVmRecord(name, value);
+    for (std::size_t vm = 0; vm < test->vms; ++vm) {
+        f.harness.waitForLogLines({ vm }, "\"quarantine received\"", 1);
+    }
+    f.harness.store().rollBack();
+    cr_assert_not(f.harness.store().hasKey(vmTopic, name));
+    f.harness.waitFor([&, &key = name] { return f.harness.store().hasKey(vmTopic, key); }, "the quarantine");
+}
+
 Test(storeRollback, eachVmWritesItsOwnAddressAgain)
 {
     Fixture f(3);
