--- a/tools/gateway/tests/taken_back_test.cpp
+++ b/tools/gateway/tests/taken_back_test.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
+#include <numeric>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -48,7 +50,8 @@
 };
 
 struct Fixture {
-    explicit Fixture(Fact fact)
+    /** @param previous program of all VMs but the last; empty: the same */
+    explicit Fixture(Fact fact, const std::string &previous = {})
         : harness(vms)
         , fact(fact)
         , endpoint(harness.addEndpoint("p1", "plain", Behaviour::Respond, "v1", "a"))
@@ -59,7 +62,10 @@
             harness.store().evacuateZone("a");
         }
         harness.store().publishDesiredState(makeState(1, allRoutes()));
-        harness.start();
+        harness.setProgram(previous);
+        harness.start(0, vms - 1);
+        harness.setProgram("");
+        harness.start(vms - 1, 1);
         harness.waitForLinks();
         harness.waitFor([this] { return readers().size() == readerCount; }, "the readers of the store");
     }
@@ -179,3 +185,52 @@
         cr_assert_eq(isUsed, test->fact == Fact::Evacuation, "%s: vm %zu", test->name, vm);
     }
 }
+
+/** LACEWING_PREVIOUS_GATEWAY names the program of the earlier version, whose answers don't say what they leave out. */
+Test(takenBack, isKnownToAVmAmongEarlierVersionsAfterTheirRestart)
+{
+    const char *previous = std::getenv("LACEWING_PREVIOUS_GATEWAY");
+    if (previous == nullptr) {
+        cr_skip_test("LACEWING_PREVIOUS_GATEWAY names no earlier version of the gateway");
+    }
+    constexpr std::size_t last = vms - 1;
+    Fixture f(Fact::Registration, previous);
+    std::vector<std::size_t> earlier(last);
+    std::iota(earlier.begin(), earlier.end(), 0);
+    f.killAll(earlier);
+    f.takeBack();
+    f.harness.setProgram(previous);
+    f.startAll(earlier);
+    f.harness.runFor(drainTimeout);
+    const std::size_t before = f.endpoint.arrivalCount();
+    for (int count = 0; count < requestsPerVm; ++count) {
+        cr_assert_eq(f.statusAt(last), net::status::ok);
+    }
+    cr_assert_eq(f.endpoint.arrivalCount(), before);
+}
+
+/** VMs of the earlier version that stay take no end from answers that leave removals out. */
+Test(takenBack, isKnownToEarlierVersionsAfterTheRestartOfTheOthersAsThisOne)
+{
+    const char *previous = std::getenv("LACEWING_PREVIOUS_GATEWAY");
+    if (previous == nullptr) {
+        cr_skip_test("LACEWING_PREVIOUS_GATEWAY names no earlier version of the gateway");
+    }
+    Fixture f(Fact::Registration, previous);
+    const std::size_t kept = f.survivor();
+    std::vector<std::size_t> others;
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        if (vm != kept) {
+            others.push_back(vm);
+        }
+    }
+    f.killAll(others);
+    f.takeBack();
+    f.startAll(others);
+    f.harness.runFor(drainTimeout);
+    const std::size_t before = f.endpoint.arrivalCount();
+    for (int count = 0; count < requestsPerVm; ++count) {
+        cr_assert_eq(f.statusAt(kept), net::status::ok);
+    }
+    cr_assert_eq(f.endpoint.arrivalCount(), before);
+}
