Gateway: desired states are not copied to look for evacuations

Cause: ZoneEvacuations::apply() copied each update of the operator's topic whole and then dropped what is no evacuation. The topic also has the desired states, of up to a record's 256 KB, so each change copied one on each VM that reads the store. Seen while reading, not measured.

Now the evacuations are selected, and only they are copied. What is applied is the same: test_gateway 714 of 714, zoneEvacuations and evacuatedZone among them.

--- a/tools/gateway/src/zone_evacuations.cpp
+++ b/tools/gateway/src/zone_evacuations.cpp
@@ -1,6 +1,7 @@
 #include "zone_evacuations.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace lacewing::gateway
@@ -8,15 +9,39 @@
 
 using userplatform::StoreRecord;
 
+namespace
+{
+
+/** Selects the evacuations of an update. The topic also has desired states, which are large and not copied. */
+struct EvacuationsOf {
+    TopicUpdate operator()(const TopicChanges &changes) const
+    {
+        return TopicChanges { changes.start, changes.end, select(changes.records) };
+    }
+    TopicUpdate operator()(const TopicSnapshot &snapshot) const
+    {
+        return TopicSnapshot { snapshot.removalsStart, snapshot.end, select(snapshot.records) };
+    }
+    TopicUpdate operator()(const TopicExcerpt &excerpt) const
+    {
+        return TopicExcerpt { select(excerpt.records) };
+    }
+
+private:
+    static std::vector<StoreRecord> select(const std::vector<StoreRecord> &records)
+    {
+        std::vector<StoreRecord> selected;
+        std::copy_if(records.begin(), records.end(), std::back_inserter(selected), [](const StoreRecord &record) {
+            return userplatform::evacuatedZone(record.key).has_value();
+        });
+        return selected;
+    }
+};
+
+} // namespace
+
 std::vector<ZoneEvacuation> ZoneEvacuations::apply(const TopicUpdate &update)
 {
-    TopicUpdate evacuations = update;
-    std::visit(
-        [](auto &alternative) {
-            std::erase_if(alternative.records,
-                          [](const StoreRecord &record) { return !userplatform::evacuatedZone(record.key); });
-        },
-        evacuations);
     std::set<std::string> evacuatedBefore;
     for (const auto &[key, record] : replica_.records()) {
         if (record.value) {
@@ -24,7 +49,7 @@
         }
     }
     std::set<std::string> changedKeys;
-    for (const auto &record : replica_.apply(evacuations)) {
+    for (const auto &record : replica_.apply(std::visit(EvacuationsOf(), update))) {
         changedKeys.insert(record.key);
     }
     std::vector<ZoneEvacuation> changes;
