--- a/tools/gateway/src/poison_prompt_guard.cpp
+++ b/tools/gateway/src/poison_prompt_guard.cpp
@@ -195,7 +195,7 @@
     }
     for (const auto &name : stored) {
         const bool hasEnded = name.starts_with(storePrefix) && !inForce.contains(name);
-        if (hasEnded && links_.isResponsible("quarantine/" + name, 1)) {
+        if (hasEnded && isResponsibleFor(name)) {
             state_.removeQuarantine(name);
         }
     }
@@ -335,7 +335,13 @@
 /** Returns whether this VM acts on a part on behalf of all: writes it to the store, and sends trials. */
 bool PoisonPromptGuard::isResponsibleFor(PromptPartId part) const
 {
-    return links_.isResponsible("quarantine/" + storeName(part), 1);
+    return isResponsibleFor(storeName(part));
+}
+
+/** @param name of a part's record in the store */
+bool PoisonPromptGuard::isResponsibleFor(const std::string &name) const
+{
+    return links_.isResponsible("quarantine/" + name, 1);
 }
 
 SuspectPartMessage PoisonPromptGuard::toMessage(const dispatch::SuspectPart &part) const
--- a/tools/gateway/src/poison_prompt_guard.h
+++ b/tools/gateway/src/poison_prompt_guard.h
@@ -81,6 +81,7 @@
     void broadcastRefutations();
     void store(dispatch::PromptPartId part);
     bool isResponsibleFor(dispatch::PromptPartId part) const;
+    bool isResponsibleFor(const std::string &name) const;
     void handlePart(const SuspectPartMessage &message);
     SuspectPartMessage toMessage(const dispatch::SuspectPart &part) const;
 
